--- /dev/null
+++ b/deploy/gateway.py
@@ -0,0 +1,17 @@
+"""Starts a gateway from a checkout, with the settings file that the platform names."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+_ROOT = Path(__file__).resolve().parent.parent
+_SETTINGS_VARIABLE = "CARAWAYQUAY_NODE_FILE"
+_PACKAGES = ("packages/core", "packages/wire", "packages/gateway", "platform")
+
+sys.path[:0] = [str(_ROOT / package / "src") for package in _PACKAGES]
+
+from carawayquay_gateway.app import run  # noqa: E402
+
+run(os.environ[_SETTINGS_VARIABLE])
--- /dev/null
+++ b/packages/core/src/carawayquay/discovery.py
@@ -0,0 +1,139 @@
+"""The targets that registered themselves, and which of them may get requests."""
+
+from __future__ import annotations
+
+import enum
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawayquay.membership import Address
+
+__all__ = ["RegisteredTarget", "TargetChange", "TargetRegistry", "TargetState"]
+
+
+class TargetState(enum.Enum):
+    """What a target says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@attrs.frozen
+class RegisteredTarget:
+    """One target as it registered itself.
+
+    :param incarnation: differs between two starts under the same name
+    :param cold_for: how much longer the target stays cold, from the time of registration
+    :param sequence: counts the registrations of one incarnation
+    """
+
+    name: str
+    service: str
+    address: Address
+    domain: str
+    region: str
+    slots: int
+    state: TargetState
+    cold_for: timedelta
+    incarnation: int
+    sequence: int = 0
+
+
+@attrs.frozen
+class TargetChange:
+    """What one registration changed.
+
+    :param before: what was known, or None
+    :param after: what is known now, or None if the target is gone
+    """
+
+    before: RegisteredTarget | None
+    after: RegisteredTarget | None
+
+
+class TargetRegistry:
+    """The registered targets by name, with the time until which each of them is cold."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, RegisteredTarget] = {}
+        self._cold_until: dict[str, timedelta] = {}
+        self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
+
+    def __len__(self) -> int:
+        return len(self._targets)
+
+    def __iter__(self) -> Iterable[RegisteredTarget]:
+        return iter(self._targets.values())
+
+    def get(self, name: str) -> RegisteredTarget | None:
+        """Return a target by its name, or None."""
+        return self._targets.get(name)
+
+    def ready(self, service: str) -> tuple[RegisteredTarget, ...]:
+        """Return the targets of a service that take new requests."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = self._by_service[service] = tuple(
+                target
+                for _, target in sorted(self._targets.items())
+                if target.service == service and target.state is TargetState.READY
+            )
+        return found
+
+    def cold(self, name: str, now: timedelta) -> bool:
+        """Return whether a target is cold."""
+        until = self._cold_until.get(name)
+        return until is not None and now < until
+
+    def cold_until(self, name: str) -> timedelta | None:
+        """Return when a target stops being cold, or None if it never was."""
+        return self._cold_until.get(name)
+
+    def mark_cold(self, name: str, duration: timedelta, now: timedelta) -> None:
+        """Take a target for cold for a duration at least."""
+        if name in self._targets and duration > timedelta():
+            self._cold_until[name] = max(now + duration, self._cold_until.get(name, now))
+
+    def register(self, target: RegisteredTarget, now: timedelta) -> TargetChange | None:
+        """Take a registration; return what it changed, or None if it is an outdated one."""
+        before = self._targets.get(target.name)
+        if before is not None and _outdated(target, before):
+            return None
+        self._targets[target.name] = target
+        if before is None or before.incarnation != target.incarnation:
+            self._cold_until.pop(target.name, None)
+        self.mark_cold(target.name, target.cold_for, now)
+        self._by_service.clear()
+        return TargetChange(before, target)
+
+    def remove(self, name: str) -> TargetChange | None:
+        """Forget a target; return what that changed, or None if it was not known."""
+        before = self._targets.pop(name, None)
+        self._cold_until.pop(name, None)
+        if before is None:
+            return None
+        self._by_service.clear()
+        return TargetChange(before, None)
+
+    def replace(self, targets: Iterable[RegisteredTarget], now: timedelta) -> list[TargetChange]:
+        """Take a complete list of targets and return what it changed."""
+        changes = []
+        listed = set()
+        for target in targets:
+            listed.add(target.name)
+            if self._targets.get(target.name) != target:
+                changes.append(self.register(target, now))
+        changes.extend(self.remove(name) for name in list(self._targets) if name not in listed)
+        return [change for change in changes if change is not None]
+
+
+def _outdated(target: RegisteredTarget, known: RegisteredTarget) -> bool:
+    """Return whether a registration is older than the known one of the same name."""
+    if target.incarnation != known.incarnation:
+        return target.incarnation < known.incarnation
+    return target.sequence < known.sequence
--- /dev/null
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -0,0 +1,149 @@
+"""The other entry VMs: which of them live, and what they last reported."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from carawayquay.load_reports import LoadReport, VMIdentity
+
+__all__ = ["EntryPeers", "Peer"]
+
+#: Silence after which a VM is not named to callers any more; reports come several times a second.
+SILENCE = timedelta(seconds=2)
+
+#: How long the in-flight counts of a report stand for the present.
+_COUNTS_LIFE = timedelta(seconds=1)
+
+#: Silence after which a VM is forgotten.
+_MEMORY = timedelta(seconds=60)
+
+
+@attrs.define
+class Peer:
+    """One other entry VM.
+
+    :param heard: when its last report came, or None if it is known by hearsay only
+    :param learned: when this VM first heard of it
+    """
+
+    identity: VMIdentity
+    learned: timedelta
+    heard: timedelta | None = None
+    report: LoadReport | None = None
+
+    def live(self, now: timedelta) -> bool:
+        """Return whether the VM reported lately."""
+        return self.heard is not None and now - self.heard < SILENCE
+
+
+class EntryPeers:
+    """The entry VMs that this one knows, and the sums over their reports."""
+
+    def __init__(self, own: VMIdentity) -> None:
+        self._own = own
+        self._peers: dict[str, Peer] = {}
+        self._running: dict[int, int] = {}
+        self._counted: dict[str, LoadReport] = {}
+        self._turn = 0
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(self._peers.values())
+
+    @property
+    def known(self) -> int:
+        """The number of VMs that are known, this one included."""
+        return len(self._peers) + 1
+
+    def get(self, name: str) -> Peer | None:
+        """Return a VM by its name, or None."""
+        return self._peers.get(name)
+
+    def live(self, now: timedelta) -> list[Peer]:
+        """Return the VMs that reported lately and are not leaving."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.live(now) and peer.report is not None and not peer.report.leaving
+        ]
+
+    def running(self, target: int) -> int:
+        """Return the requests that the other VMs have in flight at a target."""
+        return self._running.get(target, 0)
+
+    def rate(self, service: int, region: str, now: timedelta) -> float:
+        """Return the requests/s for a service that the other VMs of a region take."""
+        total = 0.0
+        for peer in self._peers.values():
+            if peer.identity.region != region or not peer.live(now) or peer.report is None:
+                continue
+            total += sum(rate.rate for rate in peer.report.rates if rate.service == service)
+        return total
+
+    def learn(self, identity: VMIdentity, now: timedelta) -> None:
+        """Take that another VM exists, by hearsay."""
+        if identity.name == self._own.name:
+            return
+        known = self._peers.get(identity.name)
+        if known is None or identity.incarnation > known.identity.incarnation:
+            self._forget_counts(identity.name)
+            self._peers[identity.name] = Peer(identity, now)
+
+    def receive(self, report: LoadReport, now: timedelta) -> bool:
+        """Take a report; return False if a newer one is known."""
+        name = report.sender.name
+        if name == self._own.name:
+            return False
+        peer = self._peers.get(name)
+        if peer is not None:
+            if report.sender.incarnation < peer.identity.incarnation:
+                return False
+            last = peer.report
+            same_start = report.sender.incarnation == peer.identity.incarnation
+            if last is not None and same_start and report.sequence <= last.sequence:
+                return False
+        if peer is None or report.sender != peer.identity:
+            peer = self._peers[name] = Peer(report.sender, now)
+        peer.heard = now
+        peer.report = report
+        self._forget_counts(name)
+        self._counted[name] = report
+        for count in report.targets:
+            self._running[count.target] = self._running.get(count.target, 0) + count.running
+        for member in report.members:
+            self.learn(member, now)
+        return True
+
+    def expire(self, now: timedelta) -> None:
+        """Drop counts that are too old, and VMs that have been silent for long."""
+        for peer in list(self._peers.values()):
+            since = peer.learned if peer.heard is None else peer.heard
+            if now - since > _COUNTS_LIFE:
+                self._forget_counts(peer.identity.name)
+            if now - since > _MEMORY:
+                del self._peers[peer.identity.name]
+
+    def some_members(self, count: int, now: timedelta) -> tuple[VMIdentity, ...]:
+        """Return some live VMs, others at each call, for a report."""
+        live = [peer.identity for peer in self._peers.values() if peer.live(now)]
+        if len(live) <= count:
+            return tuple(live)
+        start = self._turn % len(live)
+        self._turn += count
+        return tuple((live + live)[start : start + count])
+
+    def _forget_counts(self, name: str) -> None:
+        report = self._counted.pop(name, None)
+        if report is None:
+            return
+        for count in report.targets:
+            left = self._running.get(count.target, 0) - count.running
+            if left > 0:
+                self._running[count.target] = left
+            else:
+                self._running.pop(count.target, None)
--- a/packages/core/src/carawayquay/errors.py
+++ b/packages/core/src/carawayquay/errors.py
@@ -15,6 +15,7 @@
     "DocumentError",
     "ErrorKind",
     "FrameError",
+    "HistoryLostError",
     "LinkError",
     "ListenError",
     "ObjectError",
@@ -56,6 +57,10 @@
     DEADLINE_TOO_SHORT = "deadline-too-short"
     QUARANTINED = "quarantined"
     STOPPING = "stopping"
+    UNCONFIGURED = "unconfigured"
+    UNKNOWN_ROUTE = "unknown-route"
+    CRASHES_TARGETS = "crashes-targets"
+    TIMED_OUT_UNSENT = "timed-out-unsent"
     TARGET_FAILED = "target-failed"
     TARGET_TIMEOUT = "target-timeout"
     ANSWER_TOO_LARGE = "answer-too-large"
@@ -98,6 +103,10 @@
     ErrorKind.DEADLINE_TOO_SHORT: Answer(504, Outcome.NOT_RUN),
     ErrorKind.QUARANTINED: Answer(422, Outcome.NOT_RUN),
     ErrorKind.STOPPING: Answer(503, Outcome.NOT_RUN, retryable=True),
+    ErrorKind.UNCONFIGURED: Answer(503, Outcome.NOT_RUN, retryable=True),
+    ErrorKind.UNKNOWN_ROUTE: Answer(404, Outcome.NOT_RUN),
+    ErrorKind.CRASHES_TARGETS: Answer(503, Outcome.NOT_RUN),
+    ErrorKind.TIMED_OUT_UNSENT: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.TARGET_FAILED: Answer(502, Outcome.UNKNOWN),
     ErrorKind.TARGET_TIMEOUT: Answer(504, Outcome.UNKNOWN),
     ErrorKind.ANSWER_TOO_LARGE: Answer(502, Outcome.UNKNOWN),
@@ -186,6 +195,10 @@
     """The platform's object API refused a call or could not be reached."""
 
 
+class HistoryLostError(StoreError):
+    """The store does not remember the revision from which to watch."""
+
+
 class ConflictError(StoreError):
     """A conditional write named a version that is no longer the current one."""
 
--- /dev/null
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -0,0 +1,80 @@
+"""What entry VMs tell each other many times a second: who lives, what runs, what is in force."""
+
+from __future__ import annotations
+
+import zlib
+
+import attrs
+
+__all__ = ["CrashReport", "LoadReport", "ServiceRate", "TargetCount", "VMIdentity", "short_hash"]
+
+
+def short_hash(name: str) -> int:
+    """Return the 32-bit number that stands for a target or a service in reports.
+
+    >>> short_hash("sledway") == short_hash("sledway") < 2**32
+    True
+    """
+    return zlib.crc32(name.encode())
+
+
+@attrs.frozen
+class VMIdentity:
+    """One start of one entry VM.
+
+    :param host: IP address at which all its ports are
+    :param incarnation: greater than that of every earlier start of the same VM
+    """
+
+    name: str
+    host: str
+    domain: str
+    region: str
+    incarnation: int
+
+
+@attrs.frozen
+class TargetCount:
+    """Requests that a VM has in flight at a target, by the target's short hash."""
+
+    target: int
+    running: int
+
+
+@attrs.frozen
+class ServiceRate:
+    """Requests/s for a service that a VM takes from its callers, by the service's short hash."""
+
+    service: int
+    rate: float
+
+
+@attrs.frozen
+class CrashReport:
+    """How many targets requests of a fingerprint have crashed.
+
+    :param fingerprint: 64 bits
+    """
+
+    fingerprint: int
+    crashes: int
+
+
+@attrs.frozen
+class LoadReport:
+    """One VM's state of the moment.
+
+    :param sequence: counts the reports of one incarnation
+    :param leaving: whether the VM has begun a planned stop
+    :param revisions: the store's revision up to which the VM knows each kind of object
+    :param members: some of the live VMs that the sender knows, in turn
+    """
+
+    sender: VMIdentity
+    sequence: int
+    leaving: bool
+    revisions: tuple[int, ...]
+    targets: tuple[TargetCount, ...] = ()
+    rates: tuple[ServiceRate, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    members: tuple[VMIdentity, ...] = ()
--- /dev/null
+++ b/packages/core/src/carawayquay/refusals.py
@@ -0,0 +1,51 @@
+"""When a request is refused for lack of room, and when its caller is asked to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from carawayquay.routes import Route
+
+__all__ = ["longest_wait", "retry_after"]
+
+#: Part of a request's target latency for which it may queue where the answer is late anyway.
+_LATE_WAIT_PART = 0.3
+
+_LEAST_RETRY_AFTER = 0.05
+_MOST_RETRY_AFTER = 2.0
+
+#: Part of the caller's remaining time after which it is asked to come back at the latest.
+_REMAINING_PART = 0.3
+
+
+def longest_wait(route: Route, elapsed: float, left: float, work: float) -> float:
+    """Return for how many seconds a request may queue at a target.
+
+    A queue that is longer than the target latency allows makes every answer late, so a request
+    waits only as long as its own answer can still be in time. Where the work alone takes longer
+    than the target latency, a short queue is allowed, since refusing would not help.
+
+    :param elapsed: seconds since the caller began to wait
+    :param left: seconds until the caller or the route gives up
+    :param work: seconds that the request takes at the target, with the way there
+    """
+    in_time = route.target_latency.total_seconds() - elapsed - work
+    short = _LATE_WAIT_PART * route.target_latency.total_seconds()
+    return min(max(in_time, short), left - work)
+
+
+def retry_after(wait: float | None, left: float, random: Random) -> float:
+    """Return the seconds after which a refused caller should come back.
+
+    Refused callers are spread over as long as the queue is expected to need, so that they do
+    not come back together.
+
+    :param wait: seconds until room is expected, or None if no target can be used
+    :param left: seconds until the caller gives up
+    """
+    expected = 0.5 if wait is None else wait
+    spread = _LEAST_RETRY_AFTER + expected * (1.0 + random.random())
+    return max(0.0, min(spread, _REMAINING_PART * left, _MOST_RETRY_AFTER))
--- a/packages/core/src/carawayquay/settings.py
+++ b/packages/core/src/carawayquay/settings.py
@@ -16,9 +16,22 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-__all__ = ["SETTINGS", "Setting", "SettingKind", "Settings", "load_settings", "parse_settings"]
+__all__ = [
+    "SETTINGS",
+    "ParsedSettings",
+    "Setting",
+    "SettingKind",
+    "Settings",
+    "load_settings",
+    "parse_duration",
+    "parse_settings",
+    "parse_table",
+    "read_settings",
+]
 
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
+_DURATION = re.compile(r"(-?[0-9]+(?:\.[0-9]+)?)(ms|s)")
+_MILLISECONDS = {"ms": 1.0, "s": 1000.0}
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -33,6 +46,9 @@
     COUNT = "a whole number"
     MEGABITS = "a number of Mbit/s"
     LEVEL = "one of DEBUG, INFO, WARNING, ERROR"
+    DURATION = "a number with ms or s"
+    NUMBER = "a number"
+    PORTS = "two port numbers, separated by a comma"
 
 
 @attrs.frozen
@@ -143,8 +159,16 @@
 
     :raises SettingsError: with every problem, if there is one
     """
+    return parse_settings(read_settings(path))
+
+
+def read_settings(path: Path) -> str:
+    """Return the text of a settings file.
+
+    :raises SettingsError: if it can't be read
+    """
     try:
-        return parse_settings(path.read_text())
+        return path.read_text()
     except OSError as error:
         raise SettingsError((f"settings file {path}: {error.strerror}",)) from error
 
@@ -152,16 +176,36 @@
 def parse_settings(text: str) -> Settings:
     """Check the text of a settings file.
 
+    :raises SettingsError: with every problem, if there is one
+    """
+    return Settings(**parse_table(text, SETTINGS).values)
+
+
+@attrs.frozen
+class ParsedSettings:
+    """Checked values by attribute, and the keys of the sections that may hold any keys."""
+
+    values: dict[str, Any]
+    open_sections: dict[str, dict[str, str]]
+
+
+def parse_table(
+    text: str, table: tuple[Setting, ...], open_sections: tuple[str, ...] = ()
+) -> ParsedSettings:
+    """Check the text of a settings file against a table of settings.
+
+    :param open_sections: sections that may hold any keys
     :raises SettingsError: with every problem, if there is one
     """
     parser = configparser.ConfigParser(interpolation=None)
+    parser.optionxform = str  # type: ignore[assignment]
     try:
         parser.read_string(text)
     except configparser.Error as error:
         raise SettingsError((f"settings are not INI: {error}".replace("\n", " "),)) from error
-    problems = _unknown_keys(parser)
+    problems = _unknown_keys(parser, table, open_sections)
     values: dict[str, Any] = {}
-    for setting in SETTINGS:
+    for setting in table:
         raw = parser.get(setting.section, setting.key, fallback=setting.default)
         if raw is None:
             problems.append(f"[{setting.section}] {setting.key} is missing: {setting.allowed}")
@@ -172,14 +216,21 @@
             problems.append(f"[{setting.section}] {setting.key} = {raw!r} is not {setting.allowed}")
     if problems:
         raise SettingsError(tuple(problems))
-    return Settings(**values)
+    extra = {name: dict(parser[name]) for name in open_sections if parser.has_section(name)}
+    return ParsedSettings(values, extra)
 
 
-def _unknown_keys(parser: configparser.ConfigParser) -> list[str]:
-    known = {(setting.section, setting.key) for setting in SETTINGS}
-    sections = {setting.section for setting in SETTINGS}
+def _unknown_keys(
+    parser: configparser.ConfigParser,
+    table: tuple[Setting, ...],
+    open_sections: tuple[str, ...],
+) -> list[str]:
+    known = {(setting.section, setting.key) for setting in table}
+    sections = {setting.section for setting in table}
     problems = []
     for section in parser.sections():
+        if section in open_sections:
+            continue
         if section not in sections:
             problems.append(f"[{section}] is not a section")
             continue
@@ -215,6 +266,27 @@
             if raw not in _LEVELS:
                 raise ValueError(raw)
             return raw
+        case SettingKind.DURATION:
+            return parse_duration(raw)
+        case SettingKind.NUMBER:
+            return float(raw)
+        case SettingKind.PORTS:
+            first, last = (int(part) for part in raw.split(","))
+            return range(first, last + 1)
+
+
+def parse_duration(text: str) -> timedelta:
+    """Read a number with its unit.
+
+    >>> parse_duration("2.5s")
+    datetime.timedelta(seconds=2, microseconds=500000)
+
+    :raises ValueError: if *text* is not a number with the unit ms or s
+    """
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise ValueError(f'duration "{text}" is not a number with ms or s')
+    return timedelta(milliseconds=float(match[1]) * _MILLISECONDS[match[2]])
 
 
 def _bounded(setting: Setting, value: float) -> float:
--- a/packages/daemon/src/carawayquayd/admin.py
+++ b/packages/daemon/src/carawayquayd/admin.py
@@ -10,8 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from carawayquay_wire.metrics import Metrics
     from carawayquayd.explanations import Explanations
-    from carawayquayd.metrics import Metrics
 
 __all__ = ["AdminApi"]
 
--- a/packages/daemon/src/carawayquayd/state.py
+++ b/packages/daemon/src/carawayquayd/state.py
@@ -14,7 +14,7 @@
 from carawayquay.freshness import Freshness
 from carawayquay.heartbeats import PeerTable
 from carawayquay.objects import ObjectTable
-from carawayquayd.metrics import Metrics
+from carawayquay_wire.metrics import Metrics
 
 if TYPE_CHECKING:
     from carawayquay.clock import Clock
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Carries requests between callers and targets on the users' platform."""
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -0,0 +1,57 @@
+"""Answers operators and other entry VMs: readiness, metrics, state dump, copies of objects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawayquay_platform.addresses import READY_PATH, object_kind_of
+from carawayquay_platform.store import listing_body
+from carawayquay_wire.http import HttpResponse, json_response
+
+if TYPE_CHECKING:
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.http import HttpRequest
+
+__all__ = ["AdminApi", "ReadyApi"]
+
+
+class ReadyApi:
+    """Says whether this VM takes requests."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one readiness check."""
+        if request.target.partition("?")[0] != READY_PATH:
+            return HttpResponse(404)
+        return HttpResponse(200 if self._state.ready else 503)
+
+
+class AdminApi:
+    """Shows what the process knows."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one question."""
+        match request.target.partition("?")[0]:
+            case "/metrics":
+                text = self._state.metrics.exposition().encode()
+                return HttpResponse(200, ((b"content-type", b"text/plain"),), text)
+            case "/dump":
+                return json_response(200, self._state.dump())
+            case path:
+                return self._list(object_kind_of(path))
+
+    def _list(self, kind: str | None) -> HttpResponse:
+        for replica in self._state.replicas.values():
+            if replica.kind.value == kind and replica.revision is not None:
+                return json_response(200, listing_body(replica.revision, replica.objects))
+        return HttpResponse(404)
+
+
+def reject(status: int, reason: str) -> HttpResponse:
+    """Return the answer to a request that broke the protocol or a limit."""
+    return HttpResponse(status, (), reason.encode())
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -0,0 +1,190 @@
+"""The application object, in which the parts of a gateway are wired together."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import curio
+
+from carawayquay.clock import Clock, MonotonicClock
+from carawayquay.crash_counts import CrashCounts
+from carawayquay.load_reports import VMIdentity
+from carawayquay_gateway.admin import AdminApi, ReadyApi, reject
+from carawayquay_gateway.entry import EntryKeeper
+from carawayquay_gateway.forwarder import Forwarder
+from carawayquay_gateway.lookups import LookupApi
+from carawayquay_gateway.peers import PeerExchange
+from carawayquay_gateway.round_trips import RoundTrips
+from carawayquay_gateway.selection import Selection
+from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
+from carawayquay_gateway.state import GatewayState
+from carawayquay_gateway.watcher import Watcher
+from carawayquay_platform.store import PlatformStore
+from carawayquay_wire.events import Event, EventLog, set_up_bounded_logging
+from carawayquay_wire.http import HttpLimits
+from carawayquay_wire.http_server import HttpServer
+from carawayquay_wire.line_output import LineOutput
+from carawayquay_wire.listener import Listener
+from carawayquay_wire.metrics import Metrics
+from carawayquay_wire.signals import StopSignal
+
+if TYPE_CHECKING:
+    from carawayquay.membership import Address
+
+__all__ = ["Gateway", "run"]
+
+_log = EventLog("app")
+
+_SHARES_SECONDS = 0.2
+_FLUSH_SECONDS = 0.2
+_STOP_POLL_SECONDS = 0.05
+
+#: Connections of callers that are open at once.
+_CONNECTIONS = 1500
+
+#: Time kept back from a planned stop's grace for the last answers and the end of the process.
+_EXIT_SECONDS = 0.4
+
+#: Time after which callers have learned that this VM leaves.
+_LEAVE_SECONDS = 2.8
+
+
+class Gateway:
+    """One gateway: its parts, its listening sockets and its planned stop."""
+
+    def __init__(
+        self, settings: GatewaySettings, output: LineOutput, clock: Clock | None = None
+    ) -> None:
+        self._settings = settings
+        self._output = output
+        seed = secrets.randbits(63)
+        identity = VMIdentity(
+            settings.name,
+            settings.callers.host,
+            settings.domain,
+            settings.region,
+            int(time.time() * 1000),
+        )
+        generator = random.Random(seed)
+        self._state = GatewayState(settings, clock or MonotonicClock(), Metrics(), identity)
+        observe = self._state.metrics.observe_store_call
+        self._store = PlatformStore(settings.store, settings.store_timeout, observe)
+        self._watchers = [
+            Watcher(self._state, self._store, replica, generator)
+            for replica in self._state.replicas.values()
+        ]
+        self._entry = EntryKeeper(self._state, self._store, generator)
+        crashes = CrashCounts()
+        self._peers = PeerExchange(self._state, crashes)
+        round_trips = RoundTrips(settings.domain, settings.regions)
+        selection = Selection(self._state, round_trips, generator)
+        self._forwarder = Forwarder(self._state, selection, crashes, round_trips, generator)
+        limits = HttpLimits(connections=_CONNECTIONS)
+        self._caller_server = HttpServer(self._forwarder.handle, self._forwarder.reject, limits)
+        self._caller_listener = Listener(settings.callers, self._caller_server.serve)
+        self._listeners = [
+            self._caller_listener,
+            _listener(settings.ready, ReadyApi(self._state).handle),
+            _listener(settings.lookups, LookupApi(self._state).handle),
+            _listener(settings.admin, AdminApi(self._state).handle),
+        ]
+        gauge = self._state.metrics.gauge
+        gauge("caller_connections", lambda: self._caller_server.open_connections)
+        gauge("requests_active", lambda: self._forwarder.active)
+        gauge("stopping", lambda: float(self._state.stopping))
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a planned stop, then finish what is in flight.
+
+        :raises Exception: what a part of the gateway raised, if one ended by a fault
+        """
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._stop_when_asked, StopSignal())
+            for listener in self._listeners:
+                await group.spawn(_listen, listener)
+            await group.spawn(self._peers.run)
+            for watcher in self._watchers:
+                await group.spawn(watcher.run)
+            await group.spawn(self._keep_entry)
+            await group.spawn(self._update)
+            await group.spawn(self._flush)
+            _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
+        if group.completed.exception is not None:
+            raise group.completed.exception
+        _log.info(Event.STOPPED, vm=self._settings.name)
+        self._output.flush()
+
+    async def _keep_entry(self) -> None:
+        await self._entry.run()
+        await curio.Event().wait()
+
+    async def _update(self) -> None:
+        """Move what changes with time: shares of regions, limits of connections."""
+        version = None
+        while True:
+            self._state.update_shares(self._state.clock.now())
+            configuration = self._state.configuration
+            if configuration is not None and configuration.version != version:
+                version = configuration.version
+                limits = configuration.limits
+                self._caller_server.set_limits(
+                    HttpLimits(
+                        header_bytes=limits.header_bytes,
+                        body_bytes=limits.body_bytes,
+                        header_seconds=limits.header_timeout.total_seconds(),
+                        idle_seconds=limits.idle_timeout.total_seconds(),
+                        connections=_CONNECTIONS,
+                    )
+                )
+            await curio.sleep(_SHARES_SECONDS)
+
+    async def _flush(self) -> None:
+        while True:
+            self._output.flush()
+            await curio.sleep(_FLUSH_SECONDS)
+
+    async def _stop_when_asked(self, signal: StopSignal) -> None:
+        await signal.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        """Leave the look-ups, serve until cached ones have ended, finish what is in flight."""
+        _log.info(Event.STOPPING, vm=self._settings.name)
+        self._state.stopping = True
+        self._caller_server.announce_close()
+        await self._peers.announce()
+        grace = self._settings.stop_grace.total_seconds() - _EXIT_SECONDS
+        async with curio.ignore_after(grace):
+            await self._entry.remove()
+            await curio.sleep(_LEAVE_SECONDS)
+            await self._caller_listener.close()
+            await self._caller_server.drain()
+            while self._caller_server.open_connections > 0 or self._forwarder.active > 0:
+                await curio.sleep(_STOP_POLL_SECONDS)
+
+
+async def _listen(listener: Listener) -> None:
+    """Run a listener; one that was closed on purpose doesn't end the application."""
+    await listener.run()
+    await curio.Event().wait()
+
+
+def _listener(address: Address, handle: object) -> Listener:
+    """Return a listener whose handler answers in place."""
+    return Listener(address, HttpServer(handle, reject).serve)
+
+
+def run(settings: str) -> None:
+    """Run a gateway until it is told to stop.
+
+    :param settings: path of the INI file
+    """
+    loaded = load_gateway_settings(Path(settings))
+    output = LineOutput(sys.stdout.fileno())
+    set_up_bounded_logging(loaded.log_level, output)
+    curio.run(Gateway(loaded, output).run)
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/lookups.py
@@ -0,0 +1,58 @@
+"""Names entry VMs to callers: live ones, nearest first."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from carawayquay.membership import Address
+from carawayquay_platform.addresses import RESOLVE_PATH, read_lookup, resolved
+from carawayquay_wire.http import HttpResponse
+
+if TYPE_CHECKING:
+    from carawayquay.load_reports import VMIdentity
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_platform.addresses import LookupQuery
+    from carawayquay_wire.http import HttpRequest
+
+__all__ = ["LookupApi"]
+
+_LIFE = timedelta(seconds=2.5)
+
+#: Entry VMs that an answer names at least, from farther domains if need be.
+_LEAST = 2
+_MOST = 64
+
+
+class LookupApi:
+    """Answers look-ups."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one look-up."""
+        if request.target.partition("?")[0] != RESOLVE_PATH:
+            return HttpResponse(404)
+        port = self._state.settings.callers.port
+        vms = self._nearest(read_lookup(request))
+        life = min(_LIFE, self._state.settings.lookup_life)
+        self._state.metrics.count("lookups_total")
+        return resolved([Address(vm.host, port) for vm in vms], life)
+
+    def _nearest(self, query: LookupQuery) -> list[VMIdentity]:
+        """Return the live entry VMs of the caller's domain, and of others if they are few."""
+        live = [peer.identity for peer in self._state.peers.live(self._state.clock.now())]
+        if not self._state.stopping or not live:
+            live.append(self._state.identity)
+        region = query.region or self._state.settings.regions.get(query.domain, "")
+        groups = (
+            [vm for vm in live if vm.domain == query.domain],
+            [vm for vm in live if vm.domain != query.domain and vm.region == region],
+            [vm for vm in live if vm.domain != query.domain and vm.region != region],
+        )
+        named: list[VMIdentity] = []
+        for group in groups:
+            if len(named) < _LEAST:
+                named += group
+        return named[:_MOST]
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -0,0 +1,142 @@
+"""Exchanges load reports with the other entry VMs by datagram."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import curio
+from curio import socket
+
+from carawayquay.errors import FrameError
+from carawayquay.load_reports import LoadReport, ServiceRate, TargetCount, short_hash
+from carawayquay_wire.events import Event, EventLog
+from carawayquay_wire.reports import MAX_DATAGRAM_BYTES, decode_report, encode_report
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from carawayquay.crash_counts import CrashCounts
+    from carawayquay_gateway.state import GatewayState
+
+__all__ = ["PeerExchange"]
+
+_log = EventLog("peers")
+
+#: Time between reports to VMs of the own region while there are few of them.
+_NEAR_SECONDS = 0.2
+
+#: Reports to VMs of other regions are sent once in so many turns.
+_FAR_TURNS = 3
+
+#: Datagrams that one VM sends in a second at the most, however many VMs there are.
+_MAX_DATAGRAMS_PER_SECOND = 150
+
+_MEMBERS_IN_REPORT = 4
+
+#: Turns in which seeds are told of this VM though they have not been heard of.
+_SEED_TURNS = 3
+
+
+class PeerExchange:
+    """Sends this VM's load to others and takes theirs."""
+
+    def __init__(self, state: GatewayState, crashes: CrashCounts) -> None:
+        self._state = state
+        self._crashes = crashes
+        self._sequence = 0
+        self._turn = 0
+        self._sock: Any = None
+        self._next_far = 0
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        address = self._state.settings.reports
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((address.host, address.port))
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._receive)
+            await group.spawn(self._send)
+
+    async def announce(self) -> None:
+        """Tell every VM at once, as before a planned stop."""
+        if self._sock is not None:
+            await self._send_to([peer.identity.host for peer in self._state.peers])
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                continue
+            try:
+                report = decode_report(data)
+            except FrameError as error:
+                _log.warning(Event.REPORT_REFUSED, peer=address[0], reason=error)
+                continue
+            self._take(report)
+
+    def _take(self, report: LoadReport) -> None:
+        known = self._state.peers.get(report.sender.name)
+        now = self._state.clock.now()
+        was_live = known is not None and known.live(now)
+        if self._state.peers.receive(report, now):
+            self._crashes.learn(report.crashes, now)
+            if not was_live:
+                _log.info(Event.PEER_FOUND, peer=report.sender.name, host=report.sender.host)
+
+    async def _send(self) -> None:
+        while True:
+            hosts = self._next_hosts()
+            await self._send_to(hosts)
+            await curio.sleep(self._interval(len(hosts)))
+            self._turn += 1
+
+    def _interval(self, datagrams: int) -> float:
+        return max(_NEAR_SECONDS, datagrams / _MAX_DATAGRAMS_PER_SECOND)
+
+    def _next_hosts(self) -> list[str]:
+        """Return the VMs that are told in this turn."""
+        region = self._state.settings.region
+        own = self._state.identity.host
+        peers = [peer.identity for peer in self._state.peers]
+        near = [peer.host for peer in peers if peer.region == region]
+        far = [peer.host for peer in peers if peer.region != region]
+        part = -(-len(far) // _FAR_TURNS)
+        start = self._next_far
+        hosts = near + far[start : start + part]
+        self._next_far = start + part if start + part < len(far) else 0
+        if self._turn % _SEED_TURNS == 0:
+            known = {peer.host for peer in peers} | {own}
+            seeds = {seed.host for seed in self._state.settings.seeds}
+            hosts += sorted(seeds - known)
+        return hosts
+
+    async def _send_to(self, hosts: list[str]) -> None:
+        if not hosts:
+            return
+        data = encode_report(self._report())
+        port = self._state.settings.reports.port
+        for host in hosts:
+            with suppress(OSError):
+                await self._sock.sendto(data, (host, port))
+
+    def _report(self) -> LoadReport:
+        state = self._state
+        now = state.clock.now()
+        self._sequence += 1
+        return LoadReport(
+            sender=state.identity,
+            sequence=self._sequence,
+            leaving=state.stopping,
+            revisions=tuple(replica.changed for replica in state.replicas.values()),
+            targets=tuple(
+                TargetCount(short_hash(name), running) for name, running in state.running_here()
+            ),
+            rates=tuple(
+                ServiceRate(short_hash(name), service.rate(now))
+                for name, service in state.services.items()
+            ),
+            crashes=self._crashes.reports(now),
+            members=state.peers.some_members(_MEMBERS_IN_REPORT, now),
+        )
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -0,0 +1,100 @@
+"""Copies of the store's objects that a process holds, by kind."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from carawayquay_platform.objects import ObjectKind, StoredObject
+    from carawayquay_platform.store import ObjectChanges, ObjectListing
+
+__all__ = ["Adopter", "Replica"]
+
+
+@attrs.frozen
+class Adopter:
+    """What is told of the changes of one kind.
+
+    :param put: takes an object that was created or replaced
+    :param drop: takes the name of an object that is gone
+    """
+
+    put: Callable[[StoredObject], None]
+    drop: Callable[[str], None]
+
+
+class Replica:
+    """The objects of one kind, as the store had them at a revision.
+
+    :param adopter: told of each change, once
+    """
+
+    def __init__(self, kind: ObjectKind, adopter: Adopter) -> None:
+        self._kind = kind
+        self._adopter = adopter
+        self._objects: dict[str, StoredObject] = {}
+        self._revision: int | None = None
+        self._changed = 0
+
+    @property
+    def kind(self) -> ObjectKind:
+        """The kind of the objects."""
+        return self._kind
+
+    @property
+    def revision(self) -> int | None:
+        """The store's revision up to which the copy is complete, or None before the first list."""
+        return self._revision
+
+    @property
+    def changed(self) -> int:
+        """The greatest revision of any change that was seen."""
+        return self._changed
+
+    @property
+    def objects(self) -> list[StoredObject]:
+        """All objects."""
+        return list(self._objects.values())
+
+    def apply_listing(self, listing: ObjectListing) -> bool:
+        """Take all objects; return False if the copy is newer than they are."""
+        if self._revision is not None and listing.revision < self._revision:
+            return False
+        listed = {stored.name for stored in listing.objects}
+        for name in [name for name in self._objects if name not in listed]:
+            self._drop(name)
+        for stored in listing.objects:
+            self._put(stored)
+        self._revision = listing.revision
+        return True
+
+    def apply_changes(self, changes: ObjectChanges) -> None:
+        """Take what changed since the copy's revision."""
+        for event in changes.events:
+            if event.deleted:
+                self._changed = max(self._changed, event.object.revision)
+                self._drop(event.object.name)
+            else:
+                self._put(event.object)
+        self._revision = max(changes.revision, self._revision or 0)
+
+    def _put(self, stored: StoredObject) -> None:
+        known = self._objects.get(stored.name)
+        self._changed = max(self._changed, stored.revision)
+        if known is not None and known.revision >= stored.revision:
+            return
+        self._objects[stored.name] = stored
+        self._adopter.put(stored)
+
+    def _drop(self, name: str) -> None:
+        if self._objects.pop(name, None) is not None:
+            self._adopter.drop(name)
+
+
+def changed_revisions(replicas: Iterable[Replica]) -> tuple[int, ...]:
+    """Return the greatest revision that each copy has seen."""
+    return tuple(replica.changed for replica in replicas)
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -0,0 +1,123 @@
+"""The settings of a gateway: one table of names, defaults, types and checks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from carawayquay.errors import SettingsError
+from carawayquay.membership import Address
+from carawayquay.settings import Setting, SettingKind, parse_table, read_settings
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+    from pathlib import Path
+
+__all__ = ["GATEWAY_SETTINGS", "GatewaySettings", "load_gateway_settings", "parse_gateway_settings"]
+
+_REGIONS = "regions"
+
+GATEWAY_SETTINGS = (
+    Setting("vm", "name", SettingKind.NAME, "name", "name of this entry VM"),
+    Setting("vm", "domain", SettingKind.NAME, "domain", "its failure domain"),
+    Setting("vm", "region", SettingKind.NAME, "region", "its region"),
+    Setting("listen", "callers", SettingKind.ADDRESS, "callers", "address for callers"),
+    Setting("listen", "ready", SettingKind.ADDRESS, "ready", "address for readiness checks"),
+    Setting("listen", "lookups", SettingKind.ADDRESS, "lookups", "address for callers' look-ups"),
+    Setting("listen", "admin", SettingKind.ADDRESS, "admin", "address for operators and peers"),
+    Setting("listen", "ports", SettingKind.PORTS, "ports", "ports for load reports, first to last"),
+    Setting("peers", "seeds", SettingKind.ADDRESSES, "seeds", "entry VMs to ask at the start", ""),
+    Setting("store", "address", SettingKind.ADDRESS, "store", "the platform's store"),
+    Setting(
+        "store", "timeout", SettingKind.SECONDS, "store_timeout", "time for a call", "1", 0.05, 30
+    ),
+    Setting(
+        "bounds", "lookup_life", SettingKind.DURATION, "lookup_life", "life of a look-up's answer"
+    ),
+    Setting("bounds", "stop", SettingKind.DURATION, "stop_grace", "time for a planned stop"),
+    Setting("bounds", "retry_ratio", SettingKind.NUMBER, "retry_ratio", "retries a request", "0.2"),
+    Setting(
+        "bounds", "retry_window", SettingKind.DURATION, "retry_window", "span of the ratio", "10s"
+    ),
+    Setting(
+        "bounds",
+        "retry_allowance",
+        SettingKind.NUMBER,
+        "retry_allowance",
+        "retries of all VMs in the span, beyond the ratio",
+        "0",
+    ),
+    Setting(
+        "bounds",
+        "cold_over",
+        SettingKind.NUMBER,
+        "cold_over",
+        "factor by which a cold target's stated rate may be exceeded",
+        "1",
+    ),
+    Setting(
+        "bounds",
+        "cold_slack",
+        SettingKind.NUMBER,
+        "cold_slack",
+        "requests/s to a cold target beyond that",
+        "0",
+    ),
+    Setting("log", "level", SettingKind.LEVEL, "log_level", "lowest level that is logged", "INFO"),
+)
+
+
+@attrs.frozen
+class GatewaySettings:
+    """The checked settings of one gateway.
+
+    :param regions: the region of each failure domain
+    """
+
+    name: str
+    domain: str
+    region: str
+    callers: Address
+    ready: Address
+    lookups: Address
+    admin: Address
+    ports: range
+    seeds: tuple[Address, ...]
+    store: Address
+    store_timeout: timedelta
+    lookup_life: timedelta
+    stop_grace: timedelta
+    retry_ratio: float
+    retry_window: timedelta
+    retry_allowance: float
+    cold_over: float
+    cold_slack: float
+    log_level: str
+    regions: dict[str, str]
+
+    @property
+    def reports(self) -> Address:
+        """Where load reports of other VMs arrive."""
+        return Address(self.callers.host, self.ports[0])
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Read and check a settings file.
+
+    :raises SettingsError: with every problem, if there is one
+    """
+    return parse_gateway_settings(read_settings(path))
+
+
+def parse_gateway_settings(text: str) -> GatewaySettings:
+    """Check the text of a settings file.
+
+    :raises SettingsError: with every problem, if there is one
+    """
+    parsed = parse_table(text, GATEWAY_SETTINGS, (_REGIONS,))
+    regions = parsed.open_sections.get(_REGIONS, {})
+    domain = parsed.values["domain"]
+    if regions.get(domain) != parsed.values["region"]:
+        raise SettingsError((f'[{_REGIONS}] does not put "{domain}" into the region of [vm]',))
+    return GatewaySettings(**parsed.values, regions=regions)
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -0,0 +1,278 @@
+"""What one gateway knows: configuration, targets, evacuations, peers and what it measured."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from carawayquay.cold_rates import ColdRates, ColdRights
+from carawayquay.discovery import TargetRegistry
+from carawayquay.entry_peers import EntryPeers
+from carawayquay.errors import ObjectError
+from carawayquay.load_reports import VMIdentity, short_hash
+from carawayquay.region_shares import RegionLoad, RegionShares
+from carawayquay.retry_budget import RetryBudget
+from carawayquay.target_stats import ServiceTimes, TargetStats
+from carawayquay_gateway.replicas import Adopter, Replica
+from carawayquay_platform.configuration import CONFIGURATION_NAME, parse_configuration
+from carawayquay_platform.objects import ObjectKind, StoredObject, parse_target
+from carawayquay_wire.events import Event, EventLog
+
+if TYPE_CHECKING:
+    from carawayquay.clock import Clock
+    from carawayquay.discovery import RegisteredTarget, TargetChange
+    from carawayquay.routes import Configuration
+    from carawayquay_gateway.settings import GatewaySettings
+    from carawayquay_wire.metrics import Metrics
+
+__all__ = ["GatewayState", "ServiceState"]
+
+_log = EventLog("state")
+
+#: Span over which the rate of a service's requests is measured.
+_RATE_WINDOW = timedelta(seconds=3)
+
+
+class ServiceState:
+    """What is measured and counted for one service."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.times = ServiceTimes()
+        self.shares = RegionShares(settings.region)
+        self.retries = RetryBudget(
+            settings.retry_window, settings.retry_ratio, settings.retry_allowance
+        )
+        self._arrivals: deque[timedelta] = deque()
+
+    def count_request(self, now: timedelta) -> None:
+        """Count a caller's request."""
+        self._arrivals.append(now)
+        self.retries.count_request(now)
+
+    def rate(self, now: timedelta) -> float:
+        """Return the requests/s of late."""
+        while self._arrivals and now - self._arrivals[0] > _RATE_WINDOW:
+            self._arrivals.popleft()
+        return len(self._arrivals) / _RATE_WINDOW.total_seconds()
+
+
+class GatewayState:
+    """The state that the parts of a gateway share."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        clock: Clock,
+        metrics: Metrics,
+        identity: VMIdentity,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self.identity = identity
+        self.stopping = False
+        self.configuration: Configuration | None = None
+        self.targets = TargetRegistry()
+        self.evacuated: set[str] = set()
+        self.peers = EntryPeers(identity)
+        self.cold_rates = ColdRates()
+        self._cold_rights = ColdRights(settings.cold_over, settings.cold_slack)
+        self._services: dict[str, ServiceState] = {}
+        self._stats: dict[str, TargetStats] = {}
+        self.replicas = {
+            ObjectKind.CONFIGURATION: Replica(
+                ObjectKind.CONFIGURATION, Adopter(self._adopt_configuration, _ignore)
+            ),
+            ObjectKind.TARGETS: Replica(
+                ObjectKind.TARGETS, Adopter(self._adopt_target, self._drop_target)
+            ),
+            ObjectKind.EVACUATIONS: Replica(
+                ObjectKind.EVACUATIONS, Adopter(self._adopt_evacuation, self._drop_evacuation)
+            ),
+        }
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be carried: what is in force is known and no stop has begun."""
+        return (
+            not self.stopping
+            and self.configuration is not None
+            and self.replicas[ObjectKind.TARGETS].revision is not None
+        )
+
+    def service(self, name: str) -> ServiceState:
+        """Return what is measured of a service."""
+        found = self._services.get(name)
+        if found is None:
+            found = self._services[name] = ServiceState(self.settings)
+        return found
+
+    @property
+    def services(self) -> dict[str, ServiceState]:
+        """What is measured of each service that was asked for."""
+        return self._services
+
+    def stats(self, target: str) -> TargetStats:
+        """Return what is measured of a target."""
+        found = self._stats.get(target)
+        if found is None:
+            found = self._stats[target] = TargetStats()
+        return found
+
+    def running(self, target: str) -> int:
+        """Return the requests in flight at a target from all VMs, as far as known."""
+        return self.stats(target).running + self.peers.running(short_hash(target))
+
+    def running_here(self) -> list[tuple[str, int]]:
+        """Return the targets at which this VM has requests in flight, and how many."""
+        return [(name, stats.running) for name, stats in self._stats.items() if stats.running]
+
+    def may_use(self, target: RegisteredTarget, now: timedelta) -> bool:
+        """Return whether a request may go to a ready target now."""
+        if target.domain in self.evacuated or not self.stats(target.name).usable(now):
+            return False
+        if not self.targets.cold(target.name, now):
+            return True
+        return self.cold_rates.room(target.name, self._cold_share(target, now), now)
+
+    def update_shares(self, now: timedelta) -> None:
+        """Move the regions' shares of each service's requests."""
+        self.peers.expire(now)
+        for name, service in self._services.items():
+            service.shares.update(self._region_loads(name, service, now), now)
+
+    def _region_loads(
+        self, name: str, service: ServiceState, now: timedelta
+    ) -> dict[str, RegionLoad]:
+        capacities = dict.fromkeys(self.settings.regions.values(), 0.0)
+        for target in self.targets.ready(name):
+            if target.domain not in self.evacuated:
+                capacities[target.region] += target.slots
+        code = short_hash(name)
+        loads = {}
+        for region, capacity in capacities.items():
+            rate = self.peers.rate(code, region, now)
+            if region == self.settings.region:
+                rate += service.rate(now)
+            loads[region] = RegionLoad(rate * service.times.warm, capacity)
+        return loads
+
+    def _cold_share(self, target: RegisteredTarget, now: timedelta) -> int:
+        """Return the requests in a second that this VM may send to a cold target."""
+        spec = self.configuration.service(target.service) if self.configuration else None
+        rate = spec.cold_rate if spec is not None else 0.0
+        return self._cold_rights.share(rate, self._cold_holders(target, now), self.identity.name)
+
+    def _cold_holders(self, target: RegisteredTarget, now: timedelta) -> tuple[str, ...]:
+        """Return the VMs that share the right to send to a cold target: those beside it."""
+        vms = [self.identity, *(peer.identity for peer in self.peers)]
+        near = sorted(vm.name for vm in vms if vm.domain == target.domain)
+        if not near:
+            near = sorted(vm.name for vm in vms if vm.region == target.region)
+        return tuple(near or sorted(vm.name for vm in vms))
+
+    def _adopt_configuration(self, stored: StoredObject) -> None:
+        if stored.name != CONFIGURATION_NAME:
+            return
+        try:
+            configuration = parse_configuration(stored.value)
+        except ObjectError as error:
+            _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
+            return
+        known = self.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self.configuration = configuration
+        _log.info(
+            Event.OBJECT_ADOPTED,
+            kind="configuration",
+            version=configuration.version,
+            revision=stored.revision,
+            routes=len(configuration.routes),
+        )
+
+    def _adopt_target(self, stored: StoredObject) -> None:
+        try:
+            target = parse_target(stored, self.settings.regions)
+        except ObjectError as error:
+            _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
+            return
+        self._note(self.targets.register(target, self.clock.now()), stored.revision)
+
+    def _drop_target(self, name: str) -> None:
+        self._note(self.targets.remove(name), 0)
+
+    def _note(self, change: TargetChange | None, revision: int) -> None:
+        match change:
+            case None:
+                return
+            case _ if change.after is None:
+                _log.info(Event.TARGET_LOST, target=change.before.name)
+                self.cold_rates.forget(change.before.name)
+                stats = self._stats.get(change.before.name)
+                if stats is not None and stats.running == 0:
+                    del self._stats[change.before.name]
+            case _:
+                before, after = change.before, change.after
+                if before is not None and before.incarnation != after.incarnation:
+                    self.stats(after.name).restarted()
+                if before is None or before.state is not after.state or after.cold_for:
+                    _log.info(
+                        Event.TARGET_FOUND,
+                        target=after.name,
+                        service=after.service,
+                        state=after.state.value,
+                        domain=after.domain,
+                        cold_ms=int(after.cold_for.total_seconds() * 1000),
+                        revision=revision,
+                    )
+
+    def _adopt_evacuation(self, stored: StoredObject) -> None:
+        self.evacuated.add(stored.name)
+        _log.info(Event.EVACUATION_STARTED, domain=stored.name, revision=stored.revision)
+
+    def _drop_evacuation(self, name: str) -> None:
+        self.evacuated.discard(name)
+        _log.info(Event.EVACUATION_ENDED, domain=name)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON takes it."""
+        now = self.clock.now()
+        return {
+            "vm": self.identity.name,
+            "stopping": self.stopping,
+            "configuration": self.configuration.version if self.configuration else None,
+            "revisions": {k.name: replica.revision for k, replica in self.replicas.items()},
+            "evacuated": sorted(self.evacuated),
+            "peers": {
+                peer.identity.name: {"live": peer.live(now), "domain": peer.identity.domain}
+                for peer in self.peers
+            },
+            "targets": {
+                target.name: {
+                    "service": target.service,
+                    "domain": target.domain,
+                    "state": target.state.value,
+                    "cold": self.targets.cold(target.name, now),
+                    "running": self.running(target.name),
+                    "slots": target.slots,
+                    "slowness": round(self.stats(target.name).slowness, 2),
+                    "failure_rate": round(self.stats(target.name).failure_rate, 2),
+                }
+                for target in self.targets
+            },
+            "services": {
+                name: {
+                    "rate": round(service.rate(now), 1),
+                    "warm_ms": round(service.times.warm * 1000, 1),
+                    "cold_ms": round(service.times.cold * 1000, 1),
+                    "shares": {k: round(v, 3) for k, v in service.shares.shares.items()},
+                }
+                for name, service in self._services.items()
+            },
+        }
+
+
+def _ignore(_: str) -> None:
+    """Keep an object that is gone in force."""
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -0,0 +1,165 @@
+"""Keeps the copies of the store's objects current: from the store, else from other entry VMs."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+import curio
+
+from carawayquay.backoff import Backoff
+from carawayquay.errors import HistoryLostError, StoreError
+from carawayquay.membership import Address
+from carawayquay_platform.store import PlatformStore
+from carawayquay_wire.events import Event, EventLog
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from carawayquay_gateway.replicas import Replica
+    from carawayquay_gateway.state import GatewayState
+
+__all__ = ["Watcher"]
+
+_log = EventLog("watcher")
+
+_WAIT = timedelta(seconds=12)
+_FIRST_RETRY = timedelta(milliseconds=100)
+_LAST_RETRY = timedelta(milliseconds=800)
+
+#: Time for which further changes are gathered before the next call, as each call has a price.
+_GATHER_SECONDS = 0.15
+
+#: How often it is looked whether another VM has seen a change that this one has not.
+_COMPARE_SECONDS = 0.25
+
+#: Time in which a change should have come by the watch, after another VM was seen to have it.
+_LAG_SECONDS = 0.5
+
+_PEER_TIMEOUT = timedelta(milliseconds=500)
+
+
+class Watcher:
+    """Watches the objects of one kind."""
+
+    def __init__(
+        self, state: GatewayState, store: PlatformStore, replica: Replica, random: Random
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._replica = replica
+        self._random = random
+        self._backoff = Backoff(_FIRST_RETRY, _LAST_RETRY, random)
+        self._connected: bool | None = None
+        self._stale = True
+        self._index = list(state.replicas).index(replica.kind)
+        self._handled = 0
+
+    @property
+    def connected(self) -> bool:
+        """Whether the last call of the store was answered."""
+        return bool(self._connected)
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        while True:
+            try:
+                await self._follow()
+                self._note_connected(None)
+            except HistoryLostError:
+                self._stale = True
+            except StoreError as error:
+                self._note_connected(error)
+                await self._ask_peer()
+                await curio.sleep(self._backoff.next().total_seconds())
+
+    async def _follow(self) -> None:
+        """Make one call of the store.
+
+        :raises StoreError: if it is not answered
+        """
+        if self._stale or self._replica.revision is None:
+            self._apply_listing(await self._store.list(self._replica.kind))
+            self._stale = False
+            return
+        changes = await self._watch_until_behind()
+        if changes is None:
+            self._stale = True
+            return
+        self._replica.apply_changes(changes)
+        if changes.events:
+            await curio.sleep(_GATHER_SECONDS)
+
+    async def _watch_until_behind(self) -> Any:
+        """Return the changes, or None once another VM is known to have seen later ones."""
+        async with curio.TaskGroup(wait=any) as group:
+            watching = await group.spawn(
+                self._store.watch, self._replica.kind, self._replica.revision, _WAIT
+            )
+            await group.spawn(self._wait_behind)
+        if group.completed is watching:
+            return watching.result
+        return None
+
+    async def _wait_behind(self) -> None:
+        """Return once another VM has had a later change for a while."""
+        while True:
+            await curio.sleep(_COMPARE_SECONDS)
+            seen = self._newest_at_peers()[0]
+            if seen > max(self._replica.changed, self._handled):
+                await curio.sleep(_LAG_SECONDS)
+                if seen > self._replica.changed:
+                    self._handled = seen
+                    return
+
+    def _newest_at_peers(self) -> tuple[int, Address | None]:
+        """Return the greatest revision of a change that a live VM saw, and where to ask it."""
+        now = self._state.clock.now()
+        newest, address = 0, None
+        for peer in self._state.peers:
+            if not peer.live(now) or peer.report is None:
+                continue
+            revisions = peer.report.revisions
+            if self._index < len(revisions) and revisions[self._index] > newest:
+                newest = revisions[self._index]
+                address = Address(peer.identity.host, self._state.settings.admin.port)
+        return newest, address
+
+    async def _ask_peer(self) -> None:
+        """Take what a live VM knows, if that is more than is known here."""
+        newest, address = self._newest_at_peers()
+        if address is None or newest <= self._replica.changed:
+            return
+        peer = PlatformStore(address, _PEER_TIMEOUT)
+        try:
+            listing = await peer.list(self._replica.kind)
+        except StoreError as error:
+            _log.warning(Event.PULL_FAILED, kind=self._replica.kind.name, peer=address, error=error)
+            return
+        finally:
+            await peer.close()
+        self._apply_listing(listing)
+
+    def _apply_listing(self, listing: Any) -> None:
+        if self._replica.apply_listing(listing):
+            _log.info(
+                Event.OBJECT_ADOPTED,
+                kind=self._replica.kind.name,
+                revision=listing.revision,
+                objects=len(listing.objects),
+            )
+
+    def _note_connected(self, error: StoreError | None) -> None:
+        connected = error is None
+        if connected:
+            self._backoff.reset()
+        else:
+            # After an outage the watch may have missed what the store forgot meanwhile.
+            self._stale = True
+        if connected is self._connected:
+            return
+        self._connected = connected
+        if connected:
+            _log.info(Event.STORE_FOUND, kind=self._replica.kind.name)
+        else:
+            _log.warning(Event.STORE_LOST, kind=self._replica.kind.name, reason=error)
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -4,11 +4,14 @@
 
 import enum
 import sys
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import logbook
 
-__all__ = ["Event", "EventLog", "format_fields", "set_up_logging"]
+if TYPE_CHECKING:
+    from carawayquay_wire.line_output import LineOutput
+
+__all__ = ["Event", "EventLog", "format_fields", "set_up_bounded_logging", "set_up_logging"]
 
 
 class Event(enum.Enum):
@@ -38,6 +41,19 @@
     SHARD_REFILLED = "shard-refilled"
     SHARD_MAP_REFUSED = "shard-map-refused"
     SHARD_MAP_UNWRITTEN = "shard-map-unwritten"
+    REQUEST_ANSWERED = "request-answered"
+    REQUEST_REFUSED = "request-refused"
+    REQUEST_FAILED = "request-failed"
+    REQUEST_RETRIED = "request-retried"
+    REQUEST_LEFT = "request-left"
+    EVACUATION_STARTED = "evacuation-started"
+    EVACUATION_ENDED = "evacuation-ended"
+    PEER_FOUND = "peer-found"
+    PEER_LOST = "peer-lost"
+    REPORT_REFUSED = "report-refused"
+    SETTINGS_RELOADED = "settings-reloaded"
+    SETTINGS_REFUSED = "settings-refused"
+    ENTRY_UNWRITTEN = "entry-unwritten"
     SHIFT_STARTED = "shift-started"
     SHIFT_ENDED = "shift-ended"
 
@@ -81,20 +97,45 @@
     return " ".join(pairs)
 
 
+_TEMPLATE = (
+    "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
+    "logger={record.channel} {record.message}"
+)
+
+
 def set_up_logging(level: str) -> None:
     """Send log lines of a level and above to standard error.
 
     :param level: the name of a level, such as ``INFO``
     """
-    template = (
-        "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
-        "logger={record.channel} {record.message}"
-    )
     handler = logbook.StreamHandler(sys.stderr, level=level)
-    handler.format_string = template
+    handler.format_string = _TEMPLATE
     handler.push_application()
 
 
+def set_up_bounded_logging(level: str, output: LineOutput) -> None:
+    """Send log lines of a level and above to an output that never blocks.
+
+    :param level: the name of a level, such as ``INFO``
+    """
+    _OutputHandler(output, level).push_application()
+
+
+class _OutputHandler(logbook.Handler):
+    """Hands formatted records to a bounded output."""
+
+    def __init__(self, output: LineOutput, level: str) -> None:
+        super().__init__(level=level)
+        self._output = output
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        time = record.time
+        self._output.write(
+            f"time={time:%Y-%m-%dT%H:%M:%S}.{time.microsecond // 1000:03d}Z "
+            f"level={record.level_name} logger={record.channel} {record.message}"
+        )
+
+
 def _quoted(value: Any) -> str:
     text = str(value)
     if text and not any(mark in text for mark in ' "=\n\r'):
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import select
+import socket
+import time
 from contextlib import suppress
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -16,15 +18,28 @@
 from carawayquay_wire.http import HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from carawayquay.clock import Clock
     from carawayquay.membership import Address
 
+    Belongs = Callable[[HttpRequest, HttpResponse], bool]
+
 __all__ = ["MAX_IDLE", "HttpClient", "HttpConnection", "HttpError"]
 
 _READ_BYTES = 65536
 _IDLE_CONNECTIONS = 32
 _DIAL_SECONDS = 1.0
 
+#: Keep-alive probes of connections, so that one that went silent for good fails in about 3 s.
+_PROBE_AFTER_SECONDS = 1
+_PROBE_INTERVAL_SECONDS = 1
+_PROBES = 2
+_UNACKNOWLEDGED_MILLISECONDS = 2000
+
+#: Answers to other requests that one exchange passes over before it gives the connection up.
+_MAX_FOREIGN_ANSWERS = 4
+
 #: A connection that was unused for longer is not used again.
 MAX_IDLE = timedelta(seconds=20)
 
@@ -77,9 +92,10 @@
         poll.register(self._sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    async def exchange(self, request: HttpRequest) -> HttpResponse:
+    async def exchange(self, request: HttpRequest, belongs: Belongs | None = None) -> HttpResponse:
         """Send a request and return its whole answer.
 
+        :param belongs: whether an answer is to a request; those to others are passed over
         :raises HttpError: if the connection fails before the answer is whole
         """
         fresh = self._exchanges == 0
@@ -88,9 +104,17 @@
         try:
             await self._send(request)
             response = await self._receive()
+            foreign = 0
+            while belongs is not None and not belongs(request, response):
+                foreign += 1
+                if foreign > _MAX_FOREIGN_ANSWERS:
+                    raise OSError("answers belong to other requests")
+                self._expect_next_answer(request)
+                response = await self._receive()
         except (OSError, h11.ProtocolError) as error:
             raise HttpError(f"{self._address}: {error}", sent=True, fresh=fresh) from error
-        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+        whole = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
+        if whole and not self._h11.trailing_data[0]:
             self._h11.start_next_cycle()
             self._reusable = True
         return response
@@ -102,17 +126,30 @@
             await self._sock.close()
 
     async def _send(self, request: HttpRequest) -> None:
-        headers = [
-            (b"host", str(self._address).encode()),
-            *request.headers,
-            (b"content-length", str(len(request.body)).encode()),
-        ]
+        await self._sock.sendall(self._encode(request))
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = [*request.headers, (b"content-length", b"%d" % len(request.body))]
+        if request.header(b"host") is None:
+            headers.insert(0, (b"host", str(self._address).encode()))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
         data = self._h11.send(head)
         if request.body:
             data += self._h11.send(h11.Data(data=request.body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._sock.sendall(data)
+        return data + self._h11.send(h11.EndOfMessage())
+
+    def _expect_next_answer(self, request: HttpRequest) -> None:
+        """Read a further answer to a request that was sent, after one that is another's.
+
+        :raises OSError: if the connection can't carry a further answer
+        """
+        if self._h11.their_state is not h11.DONE:
+            raise OSError("connection ends after an answer to another request")
+        received = self._h11.trailing_data[0]
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._encode(request)
+        if received:
+            self._h11.receive_data(received)
 
     async def _receive(self) -> HttpResponse:
         head = None
@@ -142,11 +179,18 @@
 
     :param max_body_bytes: the largest answer that is taken
     :param clock: by which idle connections age
+    :param dialled: told of each new connection and the seconds that it took
     """
 
-    def __init__(self, max_body_bytes: int = 4 * 1024 * 1024, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        max_body_bytes: int = 4 * 1024 * 1024,
+        clock: Clock | None = None,
+        dialled: Callable[[Address, float], None] | None = None,
+    ) -> None:
         self._max_body_bytes = max_body_bytes
         self._clock = clock or MonotonicClock()
+        self._dialled = dialled
         self._idle: dict[Address, list[HttpConnection]] = {}
 
     async def exchange(
@@ -158,6 +202,7 @@
         used_seconds: float | None = None,
         fresh: bool = False,
         max_idle: timedelta = MAX_IDLE,
+        belongs: Belongs | None = None,
     ) -> HttpResponse:
         """Send a request to a server and return its whole answer.
 
@@ -165,6 +210,7 @@
         :param used_seconds: the same on a connection that was used before, if less
         :param fresh: whether to open a new connection in any case
         :param max_idle: the longest time for which the connection may have been unused
+        :param belongs: whether an answer is to a request; those to others are passed over
         :raises HttpError: if it gives no whole answer in time
         """
         connection = None if fresh else await self._pooled(address, max_idle)
@@ -175,7 +221,7 @@
             async with curio.timeout_after(seconds):
                 if connection is None:
                     connection = await self._dial(address)
-                response = await connection.exchange(request)
+                response = await connection.exchange(request, belongs)
                 finished = True
                 return response
         except curio.TaskTimeout:
@@ -214,6 +260,7 @@
         return None
 
     async def _dial(self, address: Address) -> HttpConnection:
+        started = time.monotonic()
         try:
             sock = await curio.timeout_after(
                 _DIAL_SECONDS, curio.open_connection, address.host, address.port
@@ -225,6 +272,9 @@
                 refused=isinstance(error, ConnectionRefusedError),
                 timed_out=isinstance(error, curio.TaskTimeout),
             ) from error
+        _probe_when_silent(sock)
+        if self._dialled is not None:
+            self._dialled(address, time.monotonic() - started)
         return HttpConnection(sock, address, self._max_body_bytes)
 
     async def _release(self, address: Address, connection: HttpConnection) -> None:
@@ -234,3 +284,12 @@
             idle.append(connection)
         else:
             await connection.close()
+
+
+def _probe_when_silent(sock: Any) -> None:
+    """Let the kernel end a connection whose other end has gone silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS)
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -81,6 +81,10 @@
         """The number of connections that were refused because too many were open."""
         return self._refused
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Apply other limits to connections from now on."""
+        self._limits = limits
+
     def announce_close(self) -> None:
         """Close every connection after its next answer, which says so."""
         self._closing = True
--- /dev/null
+++ b/packages/wire/src/carawayquay_wire/line_output.py
@@ -0,0 +1,72 @@
+"""Writes log lines to a file descriptor without ever blocking, and bounded in rate."""
+
+from __future__ import annotations
+
+import os
+import select
+import time
+from collections import deque
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["LineOutput"]
+
+_MAX_WAITING_LINES = 4000
+_MAX_LINES_PER_SECOND = 1000
+
+#: Bytes that a pipe which is ready to be written to takes without blocking.
+_ATOMIC_BYTES = select.PIPE_BUF
+
+
+class LineOutput:
+    """Keeps lines until they can be written, drops what is too much, and says how much it was.
+
+    :param descriptor: the file descriptor, which may be shared and stays in blocking mode
+    :param seconds: the present time
+    """
+
+    def __init__(self, descriptor: int, seconds: Callable[[], float] = time.monotonic) -> None:
+        self._descriptor = descriptor
+        self._seconds = seconds
+        self._lines: deque[bytes] = deque()
+        self._dropped = 0
+        self._second = 0
+        self._in_second = 0
+
+    @property
+    def dropped(self) -> int:
+        """The number of lines that were dropped since the last line that said so."""
+        return self._dropped
+
+    def write(self, line: str) -> None:
+        """Take a line, or drop it if there are too many."""
+        second = int(self._seconds())
+        if second != self._second:
+            self._second = second
+            self._in_second = 0
+        self._in_second += 1
+        if self._in_second > _MAX_LINES_PER_SECOND or len(self._lines) >= _MAX_WAITING_LINES:
+            self._dropped += 1
+            return
+        if self._dropped:
+            self._lines.append(b"level=WARNING event=lines-dropped count=%d\n" % self._dropped)
+            self._dropped = 0
+        self._lines.append(line.encode(errors="replace") + b"\n")
+
+    def flush(self) -> None:
+        """Write as many lines as the reader of the descriptor takes without delay."""
+        while self._lines and self._writable():
+            parts = [self._lines.popleft()[:_ATOMIC_BYTES]]
+            size = len(parts[0])
+            while self._lines and size + len(self._lines[0]) <= _ATOMIC_BYTES:
+                size += len(self._lines[0])
+                parts.append(self._lines.popleft())
+            with suppress(OSError):
+                os.write(self._descriptor, b"".join(parts))
+
+    def _writable(self) -> bool:
+        _, writable, _ = select.select([], [self._descriptor], [], 0)
+        return bool(writable)
--- /dev/null
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -0,0 +1,84 @@
+"""Cap'n Proto encoding of load reports, read field by field since they come many times a second."""
+
+from __future__ import annotations
+
+from importlib import resources
+from typing import Any
+
+import capnp
+
+from carawayquay.errors import FrameError
+from carawayquay.load_reports import (
+    CrashReport,
+    LoadReport,
+    ServiceRate,
+    TargetCount,
+    VMIdentity,
+)
+
+__all__ = ["MAX_DATAGRAM_BYTES", "decode_report", "encode_report"]
+
+MAX_DATAGRAM_BYTES = 60_000
+
+capnp.remove_import_hook()
+with resources.as_file(resources.files("carawayquay_wire") / "schema" / "reports.capnp") as _path:
+    _SCHEMA = capnp.load(str(_path))
+
+_MAX_RUNNING = 65_535
+_MAX_CRASHES = 255
+
+
+def encode_report(report: LoadReport) -> bytes:
+    """Return the bytes of a report."""
+    message = _SCHEMA.LoadReport.new_message(
+        sender=_member(report.sender),
+        sequence=report.sequence,
+        leaving=report.leaving,
+        revisions=list(report.revisions),
+        targets=[
+            {"target": count.target, "running": min(count.running, _MAX_RUNNING)}
+            for count in report.targets
+        ],
+        rates=[{"service": rate.service, "rate": rate.rate} for rate in report.rates],
+        crashes=[
+            {"fingerprint": crash.fingerprint, "crashes": min(crash.crashes, _MAX_CRASHES)}
+            for crash in report.crashes
+        ],
+        members=[_member(member) for member in report.members],
+    )
+    return message.to_bytes_packed()
+
+
+def decode_report(data: bytes) -> LoadReport:
+    """Return the report that a datagram carries.
+
+    :raises FrameError: if it carries none
+    """
+    try:
+        reader = _SCHEMA.LoadReport.from_bytes_packed(data)
+        return LoadReport(
+            sender=_identity(reader.sender),
+            sequence=reader.sequence,
+            leaving=reader.leaving,
+            revisions=tuple(reader.revisions),
+            targets=tuple(TargetCount(item.target, item.running) for item in reader.targets),
+            rates=tuple(ServiceRate(item.service, item.rate) for item in reader.rates),
+            crashes=tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
+            members=tuple(_identity(item) for item in reader.members),
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise FrameError(f"load report is broken: {error}") from error
+
+
+def _member(identity: VMIdentity) -> dict[str, Any]:
+    return {
+        "name": identity.name,
+        "host": identity.host,
+        "domain": identity.domain,
+        "region": identity.region,
+        "incarnation": identity.incarnation,
+    }
+
+
+def _identity(reader: Any) -> VMIdentity:
+    return VMIdentity(reader.name, reader.host, reader.domain, reader.region, reader.incarnation)
--- a/packages/daemon/tests/test_metrics.py
+++ b/packages/wire/tests/test_metrics.py
@@ -4,7 +4,7 @@
 
 import re
 
-from carawayquayd.metrics import Metrics, Timings
+from carawayquay_wire.metrics import Metrics, Timings
 
 _LINE = re.compile(
     r"# TYPE [a-z_]+ (counter|gauge|summary)|"
