Place requests at a home for each object, and near copies as a budget allows

Change: one home among all targets, computed alike; VMs tell each other which target handled which object; a domain makes a near target warm for at most a tenth of its requests, for bodies that are worth it. Shares of regions by hash were dropped with it.

--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -76,13 +76,14 @@
         """Return the requests that the other VMs have in flight at a target."""
         return self._running.get(target, 0)
 
-    def rate(self, service: int, region: str, now: timedelta) -> float:
-        """Return the requests/s for a service that the other VMs of a region take."""
+    def rate(self, service: int, domain: str | None, now: timedelta) -> float:
+        """Return the requests/s for a service that the other VMs of a domain, or all, take."""
         total = 0.0
         for peer in self._peers.values():
-            if peer.identity.region != region or not peer.live(now) or peer.report is None:
+            if domain is not None and peer.identity.domain != domain:
                 continue
-            total += sum(rate.rate for rate in peer.report.rates if rate.service == service)
+            if peer.report is not None and peer.live(now):
+                total += sum(rate.rate for rate in peer.report.rates if rate.service == service)
         return total
 
     def learn(self, identity: VMIdentity, now: timedelta) -> None:
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 import zlib
+from functools import lru_cache
 
 import attrs
 
-__all__ = ["CrashReport", "LoadReport", "ServiceRate", "TargetCount", "VMIdentity", "short_hash"]
+__all__ = [
+    "CrashReport",
+    "LoadReport",
+    "ServiceRate",
+    "TargetCount",
+    "VMIdentity",
+    "WarmObject",
+    "short_hash",
+]
 
 
+@lru_cache(maxsize=8192)
 def short_hash(name: str) -> int:
     """Return the 32-bit number that stands for a target or a service in reports.
 
@@ -49,6 +59,14 @@
     rate: float
 
 
+@attrs.frozen
+class WarmObject:
+    """A target that has handled an object for the first time, both by their short hashes."""
+
+    target: int
+    key: int
+
+
 @attrs.frozen
 class CrashReport:
     """How many targets requests of a fingerprint have crashed.
@@ -77,4 +95,5 @@
     targets: tuple[TargetCount, ...] = ()
     rates: tuple[ServiceRate, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
+    warmed: tuple[WarmObject, ...] = ()
     members: tuple[VMIdentity, ...] = ()
--- /dev/null
+++ b/packages/core/src/carawayquay/part_budget.py
@@ -0,0 +1,41 @@
+"""Bounds the part of a VM's requests that are treated in some special way."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+
+__all__ = ["PartBudget"]
+
+_WINDOW = timedelta(seconds=2)
+
+
+class PartBudget:
+    """Counts all requests of a window, and those that were let through.
+
+    :param most_part: the part of the requests that may be let through, 0 to 1
+    """
+
+    def __init__(self, most_part: float) -> None:
+        self._most_part = most_part
+        self._requests: deque[timedelta] = deque()
+        self._taken: deque[timedelta] = deque()
+
+    def count_request(self, now: timedelta) -> None:
+        """Count a request."""
+        self._requests.append(now)
+        _expire(self._requests, now)
+
+    def take(self, now: timedelta) -> bool:
+        """Let one request through; return False if too many were."""
+        _expire(self._requests, now)
+        _expire(self._taken, now)
+        if len(self._taken) + 1 > self._most_part * len(self._requests):
+            return False
+        self._taken.append(now)
+        return True
+
+
+def _expire(times: deque[timedelta], now: timedelta) -> None:
+    while times and now - times[0] > _WINDOW:
+        times.popleft()
--- a/packages/core/src/carawayquay/placement.py
+++ b/packages/core/src/carawayquay/placement.py
@@ -13,9 +13,9 @@
     from collections.abc import Callable, Iterable
 
     from carawayquay.discovery import RegisteredTarget
-    from carawayquay.target_stats import ServiceTimes, TargetStats
+    from carawayquay.target_stats import TargetStats
 
-__all__ = ["Candidate", "Placed", "Placement", "Refused", "key_position"]
+__all__ = ["Candidate", "Placed", "Refused", "WorkTimes", "cheapest", "key_position", "preferred"]
 
 #: Seconds that a failure costs its caller, beside a failure rate of one.
 _FAILURE_SECONDS = 2.0
@@ -30,21 +30,35 @@
 
 
 @lru_cache(maxsize=8192)
-def preference(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
-    """Return target names in the order in which an object prefers them."""
-    return ranked(key, names)
+def preferred(key: str, names: tuple[str, ...]) -> str:
+    """Return the target that an object prefers, the same in every process."""
+    return ranked(key, names)[0]
+
+
+@attrs.frozen
+class WorkTimes:
+    """Seconds that a request takes at a target that is warm or cold for its object."""
+
+    warm: float
+    cold: float
 
 
 @attrs.frozen
 class Candidate:
-    """One target with what is known of its load.
+    """One target with what is known of it.
 
     :param running: requests in flight there from all VMs, as far as known
+    :param warm: whether it handled the object lately
+    :param round_trip: seconds to the target and back
+    :param distance_cost: seconds of delay that are accepted to avoid sending so far
     """
 
     target: RegisteredTarget
     stats: TargetStats
     running: int
+    warm: bool
+    round_trip: float
+    distance_cost: float = 0.0
 
 
 @attrs.frozen
@@ -53,7 +67,8 @@
 
     :param wait: seconds for which it is expected to queue there
     :param work: seconds that it is expected to take there
-    :param warm: whether the target is thought to be warm for the object
+    :param warm: whether the target is known to be warm for the object
+    :param cost: seconds until the answer is expected, with what else speaks against the target
     """
 
     target: RegisteredTarget
@@ -61,11 +76,7 @@
     work: float
     warm: bool
     round_trip: float
-
-    @property
-    def total(self) -> float:
-        """Seconds until the answer is expected."""
-        return self.wait + self.work + self.round_trip
+    cost: float
 
 
 @attrs.frozen
@@ -78,59 +89,30 @@
     wait: float | None
 
 
-class Placement:
-    """Places requests on targets of one region.
+def cheapest(
+    candidates: Iterable[Candidate], times: WorkTimes, most_wait: Callable[[float], float]
+) -> Placed | Refused:
+    """Choose the target with the least expected delay among those whose queue is acceptable.
 
-    An object prefers the targets of the VM's own domain, in an order that every VM computes
-    alike, so that few targets become warm for it. It goes elsewhere when the wait there and the
-    work at a target that is not warm are expected to take less time than the queue.
-
-    :param domain: the VM's failure domain
-    :param round_trip: the seconds to a failure domain and back
+    :param most_wait: from seconds of work and of the way, the longest acceptable wait
     """
-
-    def __init__(self, domain: str, round_trip: Callable[[str], float]) -> None:
-        self._domain = domain
-        self._round_trip = round_trip
-
-    def place(
-        self,
-        key: str,
-        candidates: Iterable[Candidate],
-        times: ServiceTimes,
-        most_wait: Callable[[float], float],
-    ) -> Placed | Refused:
-        """Choose a target.
-
-        :param candidates: the usable targets of the region that is to serve the request
-        :param most_wait: from seconds of work and of the way, the longest acceptable wait
-        """
-        best: Placed | None = None
-        best_cost = 0.0
-        least_wait: float | None = None
-        order = self._order(key, candidates)
-        for rank, candidate in enumerate(order):
-            placed = self._estimate(key, rank, candidate, times)
-            over = placed.wait - most_wait(placed.work + placed.round_trip)
-            if over > 0:
-                least_wait = over if least_wait is None else min(least_wait, over)
-                continue
-            cost = placed.total + candidate.stats.failure_rate * _FAILURE_SECONDS
-            if best is None or cost < best_cost:
-                best, best_cost = placed, cost
-        return best if best is not None else Refused(least_wait)
-
-    def _order(self, key: str, candidates: Iterable[Candidate]) -> list[Candidate]:
-        by_name = {candidate.target.name: candidate for candidate in candidates}
-        near = sorted(name for name, c in by_name.items() if c.target.domain == self._domain)
-        far = sorted(name for name, c in by_name.items() if c.target.domain != self._domain)
-        names = preference(key, tuple(near)) + preference(key, tuple(far))
-        return [by_name[name] for name in names]
-
-    def _estimate(self, key: str, rank: int, candidate: Candidate, times: ServiceTimes) -> Placed:
-        target, stats = candidate.target, candidate.stats
-        warm = rank == 0 or stats.warm(key)
-        work = (times.warm if warm else times.cold) * stats.slowness
-        queued = max(0, candidate.running + 1 - target.slots)
-        wait = queued * times.warm * stats.slowness / max(1, target.slots)
-        return Placed(target, wait, work, warm, self._round_trip(target.domain))
+    best: Placed | None = None
+    least_over: float | None = None
+    for candidate in candidates:
+        placed = _estimate(candidate, times)
+        over = placed.wait - most_wait(placed.work + placed.round_trip)
+        if over > 0:
+            least_over = over if least_over is None else min(least_over, over)
+        elif best is None or placed.cost < best.cost:
+            best = placed
+    return best if best is not None else Refused(least_over)
+
+
+def _estimate(candidate: Candidate, times: WorkTimes) -> Placed:
+    target, stats = candidate.target, candidate.stats
+    work = (times.warm if candidate.warm else times.cold) * stats.slowness
+    queued = max(0, candidate.running + 1 - target.slots)
+    wait = queued * times.warm * stats.slowness / target.slots
+    failures = stats.failure_rate * _FAILURE_SECONDS
+    cost = wait + work + candidate.round_trip + candidate.distance_cost + failures
+    return Placed(target, wait, work, candidate.warm, candidate.round_trip, cost)
--- a/packages/core/src/carawayquay/target_stats.py
+++ b/packages/core/src/carawayquay/target_stats.py
@@ -10,18 +10,17 @@
 __all__ = ["ServiceTimes", "TargetStats"]
 
 _WEIGHT = 0.2
+_TIME_WEIGHT = 0.05
 
 #: Time in which half of what was learned of a target's speed and failures is forgotten.
 _HALF_LIFE = timedelta(seconds=4)
 
-#: Service time that is assumed before the first answer, in seconds.
-_FIRST_GUESS = 0.1
-
 #: How many times slower a target handles an object that it has not handled lately, at first.
-_COLD_FACTOR = 3.0
+_COLD_FACTOR = 3.3
 
-_WARM_KEYS = 256
+_WARM_KEYS = 128
 _MAX_SLOWNESS = 30.0
+_MIN_SLOWNESS = 0.3
 
 #: Failures in a row after which a target is left alone for a while.
 _EJECT_AFTER = 3
@@ -29,30 +28,43 @@
 
 
 class ServiceTimes:
-    """Service times of one service over all its targets, in seconds without queueing."""
+    """Service times and sizes of one service over all its targets, without queueing."""
 
     def __init__(self) -> None:
         self._warm: float | None = None
         self._cold: float | None = None
+        self._bytes = 0.0
 
     @property
-    def warm(self) -> float:
-        """Seconds for an object that the target handled lately."""
+    def mean_bytes(self) -> float:
+        """Bytes of the bodies of a request and its answer."""
+        return self._bytes
+
+    def warm(self, target_latency: float) -> float:
+        """Return the seconds for an object that the target handled lately.
+
+        :param target_latency: seconds, from which the first guess is made
+        """
         if self._warm is not None:
             return self._warm
-        return self._cold / _COLD_FACTOR if self._cold is not None else _FIRST_GUESS
+        return self.cold(target_latency) / _COLD_FACTOR
 
-    @property
-    def cold(self) -> float:
-        """Seconds for an object that the target did not handle lately."""
-        return max(self.warm, self._cold if self._cold is not None else self.warm * _COLD_FACTOR)
+    def cold(self, target_latency: float) -> float:
+        """Return the seconds for an object that the target did not handle lately."""
+        if self._cold is not None:
+            return max(self._cold, self._warm or 0.0)
+        return target_latency if self._warm is None else self._warm * _COLD_FACTOR
 
     def record(self, seconds: float, *, warm: bool) -> None:
-        """Take the service time of one request."""
+        """Take the service time of one request that did not queue."""
         if warm:
-            self._warm = seconds if self._warm is None else _mixed(self._warm, seconds, 0.02)
+            self._warm = _mixed(self._warm, seconds, _TIME_WEIGHT)
         else:
-            self._cold = seconds if self._cold is None else _mixed(self._cold, seconds, 0.05)
+            self._cold = _mixed(self._cold, seconds, _TIME_WEIGHT)
+
+    def record_bytes(self, size: int) -> None:
+        """Take the size of the bodies of one request and its answer."""
+        self._bytes = _mixed(self._bytes or None, size, _TIME_WEIGHT)
 
 
 @attrs.define
@@ -70,12 +82,21 @@
     failures_in_row: int = 0
     ejected_until: timedelta = timedelta()
     updated: timedelta = timedelta()
-    _warm_keys: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+    _warm_keys: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
 
-    def warm(self, key: str) -> bool:
-        """Return whether this process sent an object there lately."""
+    def warm(self, key: int) -> bool:
+        """Return whether the target handled an object lately, by the object's short hash."""
         return key in self._warm_keys
 
+    def note_warm(self, key: int) -> bool:
+        """Take that the target handled an object; return whether that is news."""
+        news = key not in self._warm_keys
+        self._warm_keys[key] = None
+        self._warm_keys.move_to_end(key)
+        if len(self._warm_keys) > _WARM_KEYS:
+            self._warm_keys.popitem(last=False)
+        return news
+
     def usable(self, now: timedelta) -> bool:
         """Return whether the target is not left alone for its failures."""
         return now >= self.ejected_until
@@ -90,21 +111,19 @@
         self.failure_rate *= kept
         self.updated = now
 
-    def succeeded(self, key: str, seconds: float, expected: float, now: timedelta) -> None:
-        """Take a good answer.
+    def succeeded(self, now: timedelta) -> None:
+        """Take a good answer."""
+        self.decay(now)
+        self.failure_rate = _mixed(self.failure_rate, 0.0, _WEIGHT)
+        self.failures_in_row = 0
+
+    def record_speed(self, seconds: float, expected: float) -> None:
+        """Take how long a request took, without queueing.
 
-        :param seconds: service time without queueing
         :param expected: what a target of the service takes as a rule
         """
-        self.decay(now)
-        ratio = min(_MAX_SLOWNESS, max(0.2, seconds / max(expected, 0.001)))
+        ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, seconds / max(expected, 0.001)))
         self.slowness = _mixed(self.slowness, ratio, _WEIGHT)
-        self.failure_rate = _mixed(self.failure_rate, 0.0, _WEIGHT)
-        self.failures_in_row = 0
-        self._warm_keys[key] = None
-        self._warm_keys.move_to_end(key)
-        if len(self._warm_keys) > _WARM_KEYS:
-            self._warm_keys.popitem(last=False)
 
     def failed(self, now: timedelta) -> None:
         """Take a failure, and leave the target alone after several in a row."""
@@ -123,5 +142,5 @@
         self.ejected_until = timedelta()
 
 
-def _mixed(old: float, new: float, weight: float) -> float:
-    return old + weight * (new - old)
+def _mixed(old: float | None, new: float, weight: float) -> float:
+    return new if old is None else old + weight * (new - old)
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -14,6 +14,7 @@
 from carawayquay.clock import Clock, MonotonicClock
 from carawayquay.crash_counts import CrashCounts
 from carawayquay.load_reports import VMIdentity
+from carawayquay.warm_news import WarmNews
 from carawayquay_gateway.admin import AdminApi, ReadyApi, reject
 from carawayquay_gateway.entry import EntryKeeper
 from carawayquay_gateway.forwarder import Forwarder
@@ -80,10 +81,11 @@
         ]
         self._entry = EntryKeeper(self._state, self._store, generator)
         crashes = CrashCounts()
-        self._peers = PeerExchange(self._state, crashes)
+        warm = WarmNews()
+        self._peers = PeerExchange(self._state, crashes, warm)
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
-        self._forwarder = Forwarder(self._state, selection, crashes, round_trips, generator)
+        self._forwarder = Forwarder(self._state, selection, crashes, warm, round_trips, generator)
         limits = HttpLimits(connections=_CONNECTIONS)
         self._caller_server = HttpServer(self._forwarder.handle, self._forwarder.reject, limits)
         self._caller_listener = Listener(settings.callers, self._caller_server.serve)
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -10,6 +10,7 @@
 
 from carawayquay.crash_counts import CrashCounts, request_fingerprint
 from carawayquay.errors import ANSWERS, ErrorKind, Outcome
+from carawayquay.load_reports import short_hash
 from carawayquay.placement import Placed, Refused
 from carawayquay.refusals import retry_after
 from carawayquay.weighted_choice import WeightedChoice
@@ -23,6 +24,7 @@
     from carawayquay.forwarding import CallerRequest, TargetAnswer
     from carawayquay.membership import Address
     from carawayquay.routes import Route
+    from carawayquay.warm_news import WarmNews
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.selection import Selection
     from carawayquay_gateway.state import GatewayState
@@ -43,6 +45,9 @@
 _MISPLACED_FOR = timedelta(seconds=5)
 
 _CHECK_SECONDS = 0.4
+
+#: Below this part of the time for a cold object, the target must have been warm for it.
+_WARM_BY_TIME = 0.6
 _SERVER_ERROR = 500
 
 
@@ -85,12 +90,14 @@
         state: GatewayState,
         selection: Selection,
         crashes: CrashCounts,
+        warm: WarmNews,
         round_trips: RoundTrips,
         random: Random,
     ) -> None:
         self._state = state
         self._selection = selection
         self._crashes = crashes
+        self._warm = warm
         self._round_trips = round_trips
         self._random = random
         self._choices: dict[str, tuple[Route, WeightedChoice]] = {}
@@ -251,14 +258,32 @@
                 self._log_attempt(exchange, placed, f"status-{answer.status}")
                 return None
             return self._answer(exchange, placed, answer)
-        seconds = (now - sent_at).total_seconds() - placed.round_trip
-        times = self._state.service(exchange.service).times
-        expected = times.warm if placed.warm else times.cold
-        if placed.wait <= 0:
-            times.record(seconds, warm=placed.warm)
-        stats.succeeded(exchange.call.object_key, max(0.0, seconds - placed.wait), expected, now)
+        stats.succeeded(now)
+        self._record(exchange, placed, answer, (now - sent_at).total_seconds())
         return self._answer(exchange, placed, answer)
 
+    def _record(
+        self, exchange: _Exchange, placed: Placed, answer: TargetAnswer, seconds: float
+    ) -> None:
+        """Learn from a good answer how fast the target is, and that it is warm for the object."""
+        now = self._state.clock.now()
+        stats = self._state.stats(placed.target.name)
+        service = self._state.service(exchange.service)
+        key = short_hash(exchange.call.object_key)
+        known_warm = stats.warm(key)
+        if stats.note_warm(key):
+            self._warm.add(short_hash(placed.target.name), key, now)
+        service.times.record_bytes(len(exchange.call.body) + len(answer.body))
+        if placed.wait > 0:
+            return
+        work = max(0.0, seconds - placed.round_trip)
+        aim = exchange.route.target_latency.total_seconds()
+        expected = service.times.warm(aim) if known_warm else service.times.cold(aim)
+        if not known_warm and work < _WARM_BY_TIME * expected:
+            return
+        service.times.record(work / stats.slowness, warm=known_warm)
+        stats.record_speed(work, expected)
+
     async def _note_failure(self, exchange: _Exchange, placed: Placed, failure: HttpError) -> None:
         """Take that a target gave no whole answer."""
         now = self._state.clock.now()
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -17,6 +17,7 @@
     from typing import Any
 
     from carawayquay.crash_counts import CrashCounts
+    from carawayquay.warm_news import WarmNews
     from carawayquay_gateway.state import GatewayState
 
 __all__ = ["PeerExchange"]
@@ -41,9 +42,10 @@
 class PeerExchange:
     """Sends this VM's load to others and takes theirs."""
 
-    def __init__(self, state: GatewayState, crashes: CrashCounts) -> None:
+    def __init__(self, state: GatewayState, crashes: CrashCounts, warm: WarmNews) -> None:
         self._state = state
         self._crashes = crashes
+        self._warm = warm
         self._sequence = 0
         self._turn = 0
         self._sock: Any = None
@@ -82,6 +84,7 @@
         was_live = known is not None and known.live(now)
         if self._state.peers.receive(report, now):
             self._crashes.learn(report.crashes, now)
+            self._state.learn_warm(report.warmed)
             if not was_live:
                 _log.info(Event.PEER_FOUND, peer=report.sender.name, host=report.sender.host)
 
@@ -138,5 +141,6 @@
                 for name, service in state.services.items()
             ),
             crashes=self._crashes.reports(now),
+            warmed=self._warm.current(now),
             members=state.peers.some_members(_MEMBERS_IN_REPORT, now),
         )
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -1,12 +1,23 @@
-"""Selects the region and the target of a request from the state of the moment."""
+"""Selects the target of a request from the state of the moment."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from carawayquay.placement import Candidate, Placed, Placement, Refused, key_position
+import attrs
+
+from carawayquay.load_reports import short_hash
+from carawayquay.part_budget import PartBudget
+from carawayquay.placement import (
+    Candidate,
+    Placed,
+    Refused,
+    WorkTimes,
+    cheapest,
+    key_position,
+    preferred,
+)
 from carawayquay.refusals import longest_wait
-from carawayquay.spill import SpillBudget
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -19,19 +30,43 @@
 
 __all__ = ["Selection"]
 
+#: Part of the requests that may leave the region of their object's home for lack of room.
+_SPILL_PART = 0.06
+
+#: Part of the requests that may go to a near target that is cold for them, to make it warm.
+_INVESTED_PART = 0.1
+
+#: Bodies of at least this size are worth a target of the own domain that is warm for them.
+_WORTHWHILE_BYTES = 1500
+
+#: Part of the slots of a near target up to which it is made warm for further objects.
+_INVESTED_UTILIZATION = 0.6
+
+#: Seconds of delay that are accepted to stay in the own domain or region.
+_OTHER_DOMAIN_COST = 0.02
+_OTHER_REGION_COST = 0.02
+
 
 class Selection:
-    """Places requests of callers at this VM."""
+    """Places requests of callers at this VM.
+
+    Every object has a home among all targets, which every VM computes alike, so that at first
+    one target becomes warm for it. As room allows, each domain makes a target of its own warm for
+    the objects that its callers ask for, and then stays there.
+    """
 
     def __init__(self, state: GatewayState, round_trips: RoundTrips, random: Random) -> None:
         self._state = state
+        self._round_trips = round_trips
         self._random = random
-        self._placement = Placement(state.settings.domain, round_trips.seconds)
-        self._spill = SpillBudget()
+        self._spilled = PartBudget(_SPILL_PART)
+        self._invested = PartBudget(_INVESTED_PART)
 
     def count_request(self) -> None:
-        """Count a caller's request, of which a part may leave the region."""
-        self._spill.count_request(self._state.clock.now())
+        """Count a caller's request."""
+        now = self._state.clock.now()
+        self._spilled.count_request(now)
+        self._invested.count_request(now)
 
     def select(
         self,
@@ -49,80 +84,106 @@
         :param left: seconds until the caller or the route gives up
         :param tried: names of targets that are not to be used
         """
-        by_region = self._usable(route, service, tried)
-        if not by_region:
+        usable = self._usable(route, service, tried)
+        if not usable:
             return Refused(None)
-        home = self._home_region(service, key, by_region)
-        chosen = self._place(route, service, key, by_region[home], elapsed, left)
-        if isinstance(chosen, Placed) or len(by_region) == 1:
+        home = self._home(service, key, usable)
+        request = _Request(route, service, key, elapsed, left)
+        chosen = self._cheapest(
+            request, [target for target in usable if target.region == home.region], home
+        )
+        if isinstance(chosen, Placed):
             return chosen
-        return self._place_elsewhere(route, service, key, by_region, home, elapsed, left, chosen)
-
-    def _place_elsewhere(
-        self,
-        route: Route,
-        service: str,
-        key: str,
-        by_region: dict[str, list[RegisteredTarget]],
-        home: str,
-        elapsed: float,
-        left: float,
-        refused: Refused,
-    ) -> Placed | Refused:
-        """Choose a target of another region, as far as requests may leave theirs."""
-        best: Placed | None = None
-        for region, targets in by_region.items():
-            if region == home:
-                continue
-            placed = self._place(route, service, key, targets, elapsed, left)
-            if isinstance(placed, Placed) and (best is None or placed.total < best.total):
-                best = placed
-        if best is None or not self._spill.take(self._state.clock.now()):
-            return refused
-        return best
-
-    def _place(
-        self,
-        route: Route,
-        service: str,
-        key: str,
-        targets: list[RegisteredTarget],
-        elapsed: float,
-        left: float,
+        others = [target for target in usable if target.region != home.region]
+        if not others:
+            return chosen
+        elsewhere = self._cheapest(request, others, home)
+        if isinstance(elsewhere, Refused) or not self._spilled.take(self._state.clock.now()):
+            return chosen
+        return elsewhere
+
+    def _home(self, service: str, key: str, usable: list[RegisteredTarget]) -> RegisteredTarget:
+        """Return the target that should serve an object of this domain's callers."""
+        by_name = {target.name: target for target in usable}
+        key = key or f"{self._random.random():f}"
+        common = by_name[preferred(key, tuple(by_name))]
+        domain = self._state.settings.domain
+        near = tuple(target.name for target in usable if target.domain == domain)
+        measured = self._state.service(service)
+        if not near or key_position(service, key) >= measured.kept.share:
+            return common
+        local = by_name[preferred(key, near)]
+        if local is common or self._state.stats(local.name).warm(short_hash(key)):
+            return local
+        if not self._worth_warming(service, local, common):
+            return common
+        return local
+
+    def _worth_warming(
+        self, service: str, local: RegisteredTarget, common: RegisteredTarget
+    ) -> bool:
+        """Return whether a near target should become warm for an object that has a home."""
+        state = self._state
+        if state.service(service).times.mean_bytes < _WORTHWHILE_BYTES:
+            return False
+        if state.running(local.name) > _INVESTED_UTILIZATION * local.slots:
+            return False
+        return self._invested.take(state.clock.now())
+
+    def _cheapest(
+        self, request: _Request, targets: list[RegisteredTarget], home: RegisteredTarget
     ) -> Placed | Refused:
-        now = self._state.clock.now()
+        state = self._state
+        now = state.clock.now()
+        key = short_hash(request.key)
         candidates = []
         for target in targets:
-            stats = self._state.stats(target.name)
+            stats = state.stats(target.name)
             stats.decay(now)
-            candidates.append(Candidate(target, stats, self._state.running(target.name)))
-        times = self._state.service(service).times
-        return self._placement.place(
-            key, candidates, times, lambda work: longest_wait(route, elapsed, left, work)
+            candidates.append(
+                Candidate(
+                    target,
+                    stats,
+                    state.running(target.name),
+                    target is home or stats.warm(key),
+                    self._round_trips.seconds(target.domain),
+                    self._distance_cost(target),
+                )
+            )
+        route = request.route
+        aim = route.target_latency.total_seconds()
+        times = state.service(request.service).times
+        return cheapest(
+            candidates,
+            WorkTimes(times.warm(aim), times.cold(aim)),
+            lambda work: longest_wait(route, request.elapsed, request.left, work),
         )
 
-    def _usable(
-        self, route: Route, service: str, tried: Collection[str]
-    ) -> dict[str, list[RegisteredTarget]]:
-        """Return the targets that may get a request, by region."""
+    def _distance_cost(self, target: RegisteredTarget) -> float:
+        settings = self._state.settings
+        if target.domain == settings.domain:
+            return 0.0
+        return _OTHER_DOMAIN_COST if target.region == settings.region else _OTHER_REGION_COST
+
+    def _usable(self, route: Route, service: str, tried: Collection[str]) -> list[RegisteredTarget]:
+        """Return the targets that may get a request."""
         now = self._state.clock.now()
-        by_region: dict[str, list[RegisteredTarget]] = {}
-        for target in self._state.targets.ready(service):
-            if target.name in tried:
-                continue
-            if route.allowed_regions and target.region not in route.allowed_regions:
-                continue
-            if self._state.may_use(target, now):
-                by_region.setdefault(target.region, []).append(target)
-        return by_region
-
-    def _home_region(
-        self, service: str, key: str, by_region: dict[str, list[RegisteredTarget]]
-    ) -> str:
-        """Return the region that serves an object of this region's callers."""
-        position = key_position(service, key) if key else self._random.random()
-        region = self._state.service(service).shares.region_at(position)
-        if region in by_region:
-            return region
-        own = self._state.settings.region
-        return own if own in by_region else min(by_region)
+        allowed = route.allowed_regions
+        return [
+            target
+            for target in self._state.targets.ready(service)
+            if target.name not in tried
+            and (not allowed or target.region in allowed)
+            and self._state.may_use(target, now)
+        ]
+
+
+@attrs.frozen
+class _Request:
+    """What a choice depends on beside the targets."""
+
+    route: Route
+    service: str
+    key: str
+    elapsed: float
+    left: float
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -10,8 +10,8 @@
 from carawayquay.discovery import TargetRegistry
 from carawayquay.entry_peers import EntryPeers
 from carawayquay.errors import ObjectError
+from carawayquay.kept_share import DomainLoad, KeptShare
 from carawayquay.load_reports import VMIdentity, short_hash
-from carawayquay.region_shares import RegionLoad, RegionShares
 from carawayquay.retry_budget import RetryBudget
 from carawayquay.target_stats import ServiceTimes, TargetStats
 from carawayquay_gateway.replicas import Adopter, Replica
@@ -20,8 +20,11 @@
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from carawayquay.clock import Clock
     from carawayquay.discovery import RegisteredTarget, TargetChange
+    from carawayquay.load_reports import WarmObject
     from carawayquay.routes import Configuration
     from carawayquay_gateway.settings import GatewaySettings
     from carawayquay_wire.metrics import Metrics
@@ -33,13 +36,16 @@
 #: Span over which the rate of a service's requests is measured.
 _RATE_WINDOW = timedelta(seconds=3)
 
+#: Seconds of work that are assumed before a service has answered.
+_ASSUMED_LATENCY = 0.3
+
 
 class ServiceState:
     """What is measured and counted for one service."""
 
     def __init__(self, settings: GatewaySettings) -> None:
         self.times = ServiceTimes()
-        self.shares = RegionShares(settings.region)
+        self.kept = KeptShare()
         self.retries = RetryBudget(
             settings.retry_window, settings.retry_ratio, settings.retry_allowance
         )
@@ -80,6 +86,7 @@
         self._cold_rights = ColdRights(settings.cold_over, settings.cold_slack)
         self._services: dict[str, ServiceState] = {}
         self._stats: dict[str, TargetStats] = {}
+        self._names: dict[int, str] = {}
         self.replicas = {
             ObjectKind.CONFIGURATION: Replica(
                 ObjectKind.CONFIGURATION, Adopter(self._adopt_configuration, _ignore)
@@ -137,26 +144,39 @@
         return self.cold_rates.room(target.name, self._cold_share(target, now), now)
 
     def update_shares(self, now: timedelta) -> None:
-        """Move the regions' shares of each service's requests."""
+        """Move the shares of requests that stay in their domain."""
         self.peers.expire(now)
         for name, service in self._services.items():
-            service.shares.update(self._region_loads(name, service, now), now)
-
-    def _region_loads(
-        self, name: str, service: ServiceState, now: timedelta
-    ) -> dict[str, RegionLoad]:
-        capacities = dict.fromkeys(self.settings.regions.values(), 0.0)
-        for target in self.targets.ready(name):
-            if target.domain not in self.evacuated:
-                capacities[target.region] += target.slots
+            service.kept.update(self._domain_load(name, service, now), now)
+
+    def _domain_load(self, name: str, service: ServiceState, now: timedelta) -> DomainLoad:
+        usable = [
+            target for target in self.targets.ready(name) if target.domain not in self.evacuated
+        ]
+        domain = self.settings.domain
         code = short_hash(name)
-        loads = {}
-        for region, capacity in capacities.items():
-            rate = self.peers.rate(code, region, now)
-            if region == self.settings.region:
-                rate += service.rate(now)
-            loads[region] = RegionLoad(rate * service.times.warm, capacity)
-        return loads
+        own_rate = service.rate(now)
+        work = service.times.warm(_ASSUMED_LATENCY)
+        return DomainLoad(
+            demand=work * (own_rate + self.peers.rate(code, domain, now)),
+            capacity=sum(target.slots for target in usable if target.domain == domain),
+            all_demand=work * (own_rate + self.peers.rate(code, None, now)),
+            all_capacity=sum(target.slots for target in usable),
+        )
+
+    def learn_warm(self, news: Iterable[WarmObject]) -> None:
+        """Take which targets handled which objects, from another VM."""
+        names = self._target_names()
+        for item in news:
+            name = names.get(item.target)
+            if name is not None:
+                self.stats(name).note_warm(item.key)
+
+    def _target_names(self) -> dict[int, str]:
+        """Return the names of the registered targets by their short hashes."""
+        if len(self._names) != len(self.targets):
+            self._names = {short_hash(target.name): target.name for target in self.targets}
+        return self._names
 
     def _cold_share(self, target: RegisteredTarget, now: timedelta) -> int:
         """Return the requests in a second that this VM may send to a cold target."""
@@ -265,9 +285,10 @@
             "services": {
                 name: {
                     "rate": round(service.rate(now), 1),
-                    "warm_ms": round(service.times.warm * 1000, 1),
-                    "cold_ms": round(service.times.cold * 1000, 1),
-                    "shares": {k: round(v, 3) for k, v in service.shares.shares.items()},
+                    "warm_ms": round(service.times.warm(_ASSUMED_LATENCY) * 1000, 1),
+                    "cold_ms": round(service.times.cold(_ASSUMED_LATENCY) * 1000, 1),
+                    "bytes": round(service.times.mean_bytes),
+                    "kept_share": round(service.kept.share, 3),
                 }
                 for name, service in self._services.items()
             },
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from importlib import resources
 from typing import Any
 
@@ -14,6 +15,7 @@
     ServiceRate,
     TargetCount,
     VMIdentity,
+    WarmObject,
 )
 
 __all__ = ["MAX_DATAGRAM_BYTES", "decode_report", "encode_report"]
@@ -24,6 +26,8 @@
 with resources.as_file(resources.files("carawayquay_wire") / "schema" / "reports.capnp") as _path:
     _SCHEMA = capnp.load(str(_path))
 
+#: A target and an object; a blob of pairs is read faster than a list of structs.
+_PAIR = struct.Struct("<II")
 _MAX_RUNNING = 65_535
 _MAX_CRASHES = 255
 
@@ -45,6 +49,7 @@
             for crash in report.crashes
         ],
         members=[_member(member) for member in report.members],
+        warmed=b"".join(_PAIR.pack(item.target, item.key) for item in report.warmed),
     )
     return message.to_bytes_packed()
 
@@ -65,8 +70,9 @@
             rates=tuple(ServiceRate(item.service, item.rate) for item in reader.rates),
             crashes=tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
             members=tuple(_identity(item) for item in reader.members),
+            warmed=tuple(WarmObject(*pair) for pair in _PAIR.iter_unpack(reader.warmed)),
         )
-    except (capnp.KjException, ValueError) as error:
+    except (capnp.KjException, struct.error, ValueError) as error:
         raise FrameError(f"load report is broken: {error}") from error
 
 
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -32,4 +32,5 @@
   rates @5 :List(ServiceRate);
   crashes @6 :List(CrashReport);
   members @7 :List(Member);
+  warmed @8 :Data;
 }
