Test the gateway, the platform's formats and its store's faults; bound how long a lost watch goes unnoticed

Cause: a watch that the store never answers hung for 13 s, found by the stand-in's silence. Change: waits of 8 s, 2 s for a while after a failure. Curio's logs of ended tasks are gone.

--- /dev/null
+++ b/packages/core/tests/test_discovery.py
@@ -0,0 +1,68 @@
+"""The registry believes the newest word of each target, and knows how long it is cold."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import attrs
+
+from carawayquay.discovery import RegisteredTarget, TargetRegistry, TargetState
+from carawayquay.membership import Address
+
+NOW = timedelta(seconds=100)
+TARGET = RegisteredTarget(
+    name="i-1",
+    service="granite",
+    address=Address("10.0.0.1", 80),
+    domain="puget-a",
+    region="puget",
+    slots=4,
+    state=TargetState.READY,
+    cold_for=timedelta(),
+    incarnation=5,
+    sequence=3,
+)
+
+
+def _registry(*targets):
+    registry = TargetRegistry()
+    registry.replace(targets or (TARGET,), NOW)
+    return registry
+
+
+def test_draining_target_takes_no_new_requests():
+    registry = _registry()
+    assert registry.ready("granite") == (TARGET,)
+    registry.register(attrs.evolve(TARGET, state=TargetState.DRAINING, sequence=4), NOW)
+    assert registry.ready("granite") == ()
+
+
+def test_word_of_an_earlier_start_or_an_earlier_one_of_the_same_is_not_believed():
+    registry = _registry()
+    draining = attrs.evolve(TARGET, state=TargetState.DRAINING)
+    assert registry.register(attrs.evolve(draining, sequence=2), NOW) is None
+    assert registry.register(attrs.evolve(draining, incarnation=4, sequence=9), NOW) is None
+    assert registry.ready("granite") == (TARGET,)
+
+
+def test_new_start_under_the_same_name_counts_anew():
+    registry = _registry(attrs.evolve(TARGET, state=TargetState.DRAINING))
+    again = attrs.evolve(TARGET, incarnation=6, sequence=1)
+    assert registry.register(again, NOW) is not None
+    assert registry.ready("granite") == (again,)
+
+
+def test_complete_list_removes_what_it_does_not_name():
+    registry = _registry(TARGET, attrs.evolve(TARGET, name="i-2"))
+    changes = registry.replace([TARGET], NOW)
+    assert [change.before.name for change in changes] == ["i-2"]
+    assert len(registry) == 1
+
+
+def test_target_is_cold_for_the_time_that_it_says():
+    registry = _registry(attrs.evolve(TARGET, cold_for=timedelta(seconds=3)))
+    assert registry.cold("i-1", NOW + timedelta(seconds=2.9))
+    assert not registry.cold("i-1", NOW + timedelta(seconds=3))
+    later = attrs.evolve(TARGET, sequence=4, cold_for=timedelta(seconds=1))
+    registry.register(later, NOW)
+    assert registry.cold("i-1", NOW + timedelta(seconds=2.9))
--- /dev/null
+++ b/packages/core/tests/test_refusals.py
@@ -0,0 +1,49 @@
+"""A refused caller comes back in time and spread out; a queue is as long as answers are of use."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawayquay.refusals import longest_wait, retry_after
+from carawayquay.routes import Route, RouteKind, WeightedService
+
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/",
+    kind=RouteKind.IDEMPOTENT,
+    services=(WeightedService("s", 1.0),),
+    timeout=timedelta(seconds=1.2),
+    target_latency=timedelta(seconds=0.2),
+)
+
+
+def test_queue_ends_where_the_answer_would_be_late():
+    assert abs(longest_wait(ROUTE, 0.0, 1.2, 0.08) - 0.12) < 1e-9
+
+
+def test_request_that_is_late_anyway_may_wait_a_little():
+    assert abs(longest_wait(ROUTE, 0.5, 0.7, 0.3) - 0.06) < 1e-9
+
+
+def test_nothing_waits_past_its_end():
+    assert longest_wait(ROUTE, 1.0, 0.2, 0.3) < 0
+
+
+@given(
+    wait=st.one_of(st.none(), st.floats(0, 100)),
+    left=st.floats(0, 20),
+    seed=st.integers(0, 1000),
+)
+def test_caller_is_asked_back_within_a_third_of_its_time(wait, left, seed):
+    assert 0 <= retry_after(wait, left, random.Random(seed)) <= left / 3
+
+
+def test_callers_that_were_refused_together_do_not_come_back_together():
+    generator = random.Random(1)
+    times = {round(retry_after(0.5, 10.0, generator), 2) for _ in range(100)}
+    assert len(times) > 20
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import curio
 
@@ -18,12 +18,19 @@
 
     from carawayquay_gateway.replicas import Replica
     from carawayquay_gateway.state import GatewayState
+    from carawayquay_platform.store import ObjectChanges, ObjectListing
 
 __all__ = ["Watcher"]
 
 _log = EventLog("watcher")
 
-_WAIT = timedelta(seconds=12)
+#: Longest wait of a watch: so long does a watch that the store never answers go unnoticed.
+_WAIT = timedelta(seconds=8)
+
+#: The same for a while after a failure, in which calls may get lost without a word.
+_UNSURE_WAIT = timedelta(seconds=2)
+_UNSURE_FOR = timedelta(seconds=10)
+
 _FIRST_RETRY = timedelta(milliseconds=100)
 _LAST_RETRY = timedelta(milliseconds=800)
 
@@ -43,17 +50,23 @@
     """Watches the objects of one kind."""
 
     def __init__(
-        self, state: GatewayState, store: PlatformStore, replica: Replica, random: Random
+        self,
+        state: GatewayState,
+        store: PlatformStore,
+        replica: Replica,
+        random: Random,
+        wait: timedelta = _WAIT,
     ) -> None:
         self._state = state
         self._store = store
         self._replica = replica
-        self._random = random
+        self._wait = wait
         self._backoff = Backoff(_FIRST_RETRY, _LAST_RETRY, random)
         self._connected: bool | None = None
         self._stale = True
         self._index = list(state.replicas).index(replica.kind)
         self._handled = 0
+        self._failed_at: timedelta | None = None
 
     @property
     def connected(self) -> bool:
@@ -90,16 +103,35 @@
         if changes.events:
             await curio.sleep(_GATHER_SECONDS)
 
-    async def _watch_until_behind(self) -> Any:
-        """Return the changes, or None once another VM is known to have seen later ones."""
+    async def _watch_until_behind(self) -> ObjectChanges | None:
+        """Return the changes, or None once another VM is known to have seen later ones.
+
+        :raises StoreError: if the store does not answer
+        """
         async with curio.TaskGroup(wait=any) as group:
-            watching = await group.spawn(
-                self._store.watch, self._replica.kind, self._replica.revision, _WAIT
-            )
+            watching = await group.spawn(self._watch)
             await group.spawn(self._wait_behind)
-        if group.completed is watching:
-            return watching.result
-        return None
+        if group.completed is not watching:
+            return None
+        match watching.result:
+            case StoreError() as error:
+                raise error
+            case changes:
+                return changes
+
+    async def _watch(self) -> ObjectChanges | StoreError:
+        """Return the changes; an error is returned too, since curio logs those that end a task."""
+        try:
+            revision = self._replica.revision
+            return await self._store.watch(self._replica.kind, revision, self._present_wait())
+        except StoreError as error:
+            return error
+
+    def _present_wait(self) -> timedelta:
+        now = self._state.clock.now()
+        if self._failed_at is not None and now - self._failed_at < _UNSURE_FOR:
+            return min(self._wait, _UNSURE_WAIT)
+        return self._wait
 
     async def _wait_behind(self) -> None:
         """Return once another VM has had a later change for a while."""
@@ -140,7 +172,7 @@
             await peer.close()
         self._apply_listing(listing)
 
-    def _apply_listing(self, listing: Any) -> None:
+    def _apply_listing(self, listing: ObjectListing) -> None:
         if self._replica.apply_listing(listing):
             _log.info(
                 Event.OBJECT_ADOPTED,
@@ -156,6 +188,7 @@
         else:
             # After an outage the watch may have missed what the store forgot meanwhile.
             self._stale = True
+            self._failed_at = self._state.clock.now()
         if connected is self._connected:
             return
         self._connected = connected
--- /dev/null
+++ b/packages/gateway/tests/gateway_builders.py
@@ -0,0 +1,223 @@
+"""Builders of gateways, targets and platform objects for tests."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import curio
+from curio.network import run_server, tcp_server_socket
+
+from carawayquay.clock import ManualClock, MonotonicClock
+from carawayquay.crash_counts import CrashCounts
+from carawayquay.load_reports import VMIdentity
+from carawayquay.membership import Address
+from carawayquay.warm_news import WarmNews
+from carawayquay_gateway.forwarder import Forwarder
+from carawayquay_gateway.round_trips import RoundTrips
+from carawayquay_gateway.selection import Selection
+from carawayquay_gateway.settings import GatewaySettings, parse_gateway_settings
+from carawayquay_gateway.state import GatewayState
+from carawayquay_platform.objects import ObjectKind, parse_object
+from carawayquay_platform.store import ObjectListing
+from carawayquay_wire.http import HttpRequest
+from carawayquay_wire.metrics import Metrics
+
+SETTINGS_TEXT = """
+[vm]
+name = puget-a-1
+domain = puget-a
+region = puget
+[listen]
+callers = 127.0.0.1:7001
+ready = 127.0.0.1:7002
+lookups = 127.0.0.1:7003
+admin = 127.0.0.1:7004
+ports = 7010,7020
+[peers]
+seeds = 127.0.0.1:7004,127.0.0.2:7004
+[store]
+address = 127.0.0.1:7000
+[bounds]
+lookup_life = 5s
+stop = 6s
+retry_ratio = 0.2
+retry_window = 10s
+retry_allowance = 100
+cold_over = 1.5
+cold_slack = 5
+[regions]
+puget-a = puget
+puget-b = puget
+inland-a = inland
+"""
+
+
+def settings() -> GatewaySettings:
+    """Return checked settings."""
+    return parse_gateway_settings(SETTINGS_TEXT)
+
+
+def identity(name="puget-a-1", host="127.0.0.1", domain="puget-a", region="puget", incarnation=1):
+    """Return a VM's identity."""
+    return VMIdentity(name, host, domain, region, incarnation)
+
+
+def route(**changes):
+    """Return a route of the configuration, as the platform writes it."""
+    value = {
+        "name": "reports",
+        "path_prefix": "/reports/",
+        "kind": "idempotent",
+        "timeout": "1200ms",
+        "target_latency": "200ms",
+        "priority": 2,
+        "service": "granite",
+        "max_attempts": 2,
+        "sticky": True,
+        "allowed_regions": [],
+    }
+    return value | changes
+
+
+def configuration(*routes, version=1):
+    """Return a configuration, as the platform writes it."""
+    return {
+        "version": f"r{version}",
+        "services": [
+            {"name": name, "max_conns": 100, "cold_start": "3s", "cold_per_s": 20.0}
+            for name in ("granite", "sledway")
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout": "3000ms",
+            "idle_timeout": "15000ms",
+        },
+        "virtual_hosts": [{"host": "stones.example", "paths": list(routes or (route(),))}],
+    }
+
+
+def target(address="127.0.0.1:9", **changes):
+    """Return what a target says of itself, as it writes it."""
+    value = {
+        "service": "granite",
+        "address": str(address),
+        "zone": "puget-a",
+        "version": "v1",
+        "max_concurrency": 4,
+        "state": "ready",
+        "cold_left": "0ms",
+        "sequence": 1,
+        "born": 1000,
+    }
+    return value | changes
+
+
+def stored(name, spec, revision=10, **metadata):
+    """Return an object as the store gives it."""
+    fields = {"name": name, "revision": revision, "created": 1, "finalizers": []}
+    return parse_object({"metadata": fields | metadata, "spec": spec, "status": None})
+
+
+def new_state(*, clock=None, configured=None, targets=(), vm=None):
+    """Return a state that knows a configuration and targets, given as name and what it says."""
+    state = GatewayState(settings(), clock or ManualClock(), Metrics(), vm or identity())
+    listings = {
+        ObjectKind.CONFIGURATION: [stored("main", configured or configuration())],
+        ObjectKind.TARGETS: [stored(name, spec) for name, spec in targets],
+        ObjectKind.EVACUATIONS: [],
+    }
+    for kind, objects in listings.items():
+        state.replicas[kind].apply_listing(ObjectListing(20, tuple(objects)))
+    return state
+
+
+def new_selection(state, seed=1):
+    """Return a selection over a state."""
+    round_trips = RoundTrips(state.settings.domain, state.settings.regions)
+    return Selection(state, round_trips, random.Random(seed))
+
+
+def new_forwarder(targets, configured=None):
+    """Return a forwarder, and its state, that sends to targets given as name and what it says."""
+    state = new_state(clock=MonotonicClock(), configured=configured, targets=targets)
+    round_trips = RoundTrips(state.settings.domain, state.settings.regions)
+    generator = random.Random(1)
+    selection = Selection(state, round_trips, generator)
+    forwarder = Forwarder(state, selection, CrashCounts(), WarmNews(), round_trips, generator)
+    return forwarder, state
+
+
+def request(method="GET", path="/reports/7", body=b"", request_id="a1", left_ms=1000, **headers):
+    """Return a caller's request."""
+    pairs = [
+        (b"host", b"stones.example"),
+        (b"request-id", request_id.encode()),
+        (b"affinity-key", b"17"),
+    ]
+    if left_ms is not None:
+        pairs.append((b"deadline-ms", str(left_ms).encode()))
+    pairs += [(name.replace("_", "-").encode(), text.encode()) for name, text in headers.items()]
+    return HttpRequest(method, path, tuple(pairs), body)
+
+
+def answer_bytes(status=200, body=b"ok", request_id="a1", **headers):
+    """Return the bytes of a target's answer."""
+    lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}", "server-stamp: s1"]
+    if request_id is not None:
+        lines.append(f"request-id: {request_id}")
+    lines += [f"{name.replace('_', '-')}: {text}" for name, text in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class ScriptedTarget:
+    """Answers the requests of each connection by a script.
+
+    :param script: for each request in turn the bytes to send; None closes the connection, a
+        number waits for so many seconds; the last entry is repeated
+    """
+
+    def __init__(self, *script):
+        self._script = list(script)
+        self.requests: list[bytes] = []
+        self.closed_early = 0
+        self.connections = 0
+        self.address = None
+
+    async def start(self):
+        """Listen at a free port."""
+        sock = tcp_server_socket("127.0.0.1", 0)
+        self.address = Address("127.0.0.1", sock.getsockname()[1])
+        await curio.spawn(run_server, sock, self._serve, daemon=True)
+        return self
+
+    async def _serve(self, sock, _):
+        self.connections += 1
+        while data := await sock.recv(65536):
+            self.requests.append(data)
+            step = self._script.pop(0) if len(self._script) > 1 else self._script[0]
+            while isinstance(step, int | float):
+                if await _closed_within(sock, step):
+                    self.closed_early += 1
+                    return
+                step = self._script.pop(0) if len(self._script) > 1 else answer_bytes()
+            if step is None:
+                return
+            await sock.sendall(step)
+
+
+async def _closed_within(sock, seconds):
+    """Return whether the other end closed within a time."""
+    async with curio.ignore_after(seconds):
+        return not await sock.recv(1)
+    return False
+
+
+def run(coroutine, *args):
+    """Run a coroutine function in a loop of its own, for ten seconds at most."""
+
+    async def bounded():
+        return await curio.timeout_after(timedelta(seconds=10).total_seconds(), coroutine, *args)
+
+    return curio.run(bounded)
--- /dev/null
+++ b/packages/gateway/tests/test_forwarder.py
@@ -0,0 +1,166 @@
+"""The forwarder hands back whole answers to their own requests, and says truly what has not run."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+import pytest
+from gateway_builders import (
+    ScriptedTarget,
+    answer_bytes,
+    configuration,
+    new_forwarder,
+    request,
+    route,
+    run,
+    target,
+)
+
+BOOKING = configuration(route(kind="non_idempotent"))
+SHED = answer_bytes(503, b"", not_executed="1")
+
+
+async def _answers(targets, sent=None, configured=None):
+    """Return the forwarder's answer with its state, where each target is a script."""
+    started = [await ScriptedTarget(*script).start() for script in targets]
+    named = [(f"t{index}", target(it.address)) for index, it in enumerate(started)]
+    forwarder, state = new_forwarder(named, configured)
+    answer = await forwarder.handle(sent or request())
+    return answer, started, state
+
+
+def test_answer_comes_back_unchanged():
+    answer, (it,), _ = run(_answers, [[answer_bytes(201, b"whole")]])
+    assert (answer.status, answer.body) == (201, b"whole")
+    assert answer.header(b"server-stamp") == "s1"
+    assert b"expect-instance: t0" in it.requests[0]
+    assert b"host: stones.example" in it.requests[0]
+
+
+def test_deadline_that_is_passed_on_is_what_is_left_of_the_routes_timeout_too():
+    _, (it,), _ = run(_answers, [[answer_bytes()]], request(left_ms=90000))
+    line = next(line for line in it.requests[0].split(b"\r\n") if line.startswith(b"deadline-ms"))
+    assert 1000 <= int(line.split(b":")[1]) <= 1200
+
+
+def test_no_route_is_404_but_no_configuration_is_503():
+    answer, _, state = run(_answers, [[answer_bytes()]], request(path="/other/"))
+    assert answer.status == 404
+    forwarder, state = new_forwarder([])
+    state.configuration = None
+    assert run(forwarder.handle, request(path="/other/")).status == 503
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+def test_request_that_a_target_did_not_run_goes_to_another(kind):
+    configured = configuration(route(kind=kind))
+    answer, started, _ = run(_answers, [[SHED], [SHED], [answer_bytes()]], None, configured)
+    sent = sum(len(it.requests) for it in started)
+    assert sent == 2
+    assert answer.status in (200, 503)
+
+
+def test_other_target_at_the_address_gets_nothing_more():
+    moved = answer_bytes(421, b"", instance_id="t9")
+    answer, (_it,), state = run(_answers, [[moved]])
+    assert answer.status == 503
+    assert answer.header(b"retry-after") is not None
+    assert not state.stats("t0").usable(state.clock.now())
+
+
+def test_broken_booking_is_never_sent_twice_and_not_called_unrun():
+    answer, started, _ = run(_answers, [[None], [None]], None, BOOKING)
+    assert answer.status == 502
+    assert sum(len(it.requests) for it in started) == 1
+
+
+def test_broken_idempotent_request_is_sent_once_more():
+    answer, started, _ = run(_answers, [[None], [None], [None]])
+    assert answer.status == 502
+    assert sum(len(it.requests) for it in started) == 2
+
+
+def test_answer_that_ends_early_is_not_handed_on():
+    cut = answer_bytes(200, b"whole")[:-2]
+
+    async def cut_short():
+        it = await ScriptedTarget(cut).start()
+
+        async def serve(sock, _):
+            await sock.recv(65536)
+            await sock.sendall(cut)
+
+        sock = curio.network.tcp_server_socket("127.0.0.1", 0)
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+        await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
+        assert it.address is not None
+        forwarder, _ = new_forwarder([("t0", target(address))], BOOKING)
+        return await forwarder.handle(request())
+
+    assert run(cut_short).status == 502
+
+
+def test_answer_to_another_request_is_passed_over():
+    foreign = answer_bytes(200, b"other", request_id="zz")
+    answer, _, _ = run(_answers, [[foreign + answer_bytes(200, b"mine")]])
+    assert answer.body == b"mine"
+
+
+def test_bytes_after_an_answer_close_the_connection():
+    async def two_requests():
+        it = await ScriptedTarget(answer_bytes() + b"HTTP/1.1 200 OK\r\n", answer_bytes()).start()
+        forwarder, _ = new_forwarder([("t0", target(it.address))])
+        first = await forwarder.handle(request())
+        second = await forwarder.handle(request())
+        return first, second, it.connections
+
+    first, second, connections = run(two_requests)
+    assert (first.status, second.status) == (200, 200)
+    assert connections == 2
+
+
+def test_final_answer_comes_at_the_routes_timeout():
+    configured = configuration(route(timeout="200ms"))
+    started = time.monotonic()
+    answer, (_it,), _ = run(_answers, [[5.0]], None, configured)
+    assert answer.status == 504
+    assert time.monotonic() - started < 1.0
+    assert answer.header(b"retry-after") is None
+
+
+def test_target_is_told_at_once_that_the_caller_left():
+    async def leave():
+        it = await ScriptedTarget(5.0).start()
+        forwarder, _ = new_forwarder([("t0", target(it.address))])
+        task = await curio.spawn(forwarder.handle, request())
+        while not it.requests:
+            await curio.sleep(0.01)
+        await task.cancel()
+        while not it.closed_early:
+            await curio.sleep(0.01)
+        return forwarder.active
+
+    assert run(leave) == 0
+
+
+def test_nothing_usable_is_refused_at_once_with_a_time_to_come_back():
+    answer, _, _ = run(_answers, [])
+    assert answer.status == 503
+    assert 0 < float(answer.header(b"retry-after")) <= 0.3
+
+
+def test_failure_status_of_a_booking_comes_back_as_the_targets_own():
+    answer, started, _ = run(
+        _answers, [[answer_bytes(500, b"bad")], [answer_bytes()]], None, BOOKING
+    )
+    if answer.status == 500:
+        assert answer.body == b"bad"
+    assert sum(len(it.requests) for it in started) == 1
+
+
+def test_failure_status_of_an_idempotent_request_is_tried_elsewhere():
+    answer, started, _ = run(_answers, [[answer_bytes(500)], [answer_bytes(500)]])
+    assert answer.status == 500
+    assert answer.header(b"server-stamp") == "s1"
+    assert sum(len(it.requests) for it in started) == 2
--- /dev/null
+++ b/packages/gateway/tests/test_lookups.py
@@ -0,0 +1,74 @@
+"""Look-ups name live entry VMs that do not leave, nearest first."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from gateway_builders import identity, new_state
+
+from carawayquay.clock import ManualClock
+from carawayquay.load_reports import LoadReport
+from carawayquay_gateway.lookups import LookupApi
+from carawayquay_wire.http import HttpRequest
+
+VMS = {
+    "puget-a-2": ("127.0.0.2", "puget-a", "puget"),
+    "puget-b-1": ("127.0.0.3", "puget-b", "puget"),
+    "inland-a-1": ("127.0.0.4", "inland-a", "inland"),
+    "inland-a-2": ("127.0.0.5", "inland-a", "inland"),
+}
+
+
+def _state(clock):
+    state = new_state(clock=clock)
+    for name in VMS:
+        _report(state, name, 1)
+    return state
+
+
+def _report(state, name, sequence, leaving=False):
+    host, domain, region = VMS[name]
+    vm = identity(name, host, domain, region)
+    state.peers.receive(LoadReport(vm, sequence, leaving, ()), state.clock.now())
+
+
+def _named(state, domain, region):
+    query = f"/resolve?name=stones.example&region={region}&zone={domain}"
+    answer = LookupApi(state).handle(HttpRequest("GET", query, (), b""))
+    assert answer.status == 200
+    return [address.rpartition(":")[0] for address in answer.json()["addresses"]]
+
+
+@pytest.mark.parametrize(
+    ("domain", "region", "expected"),
+    [
+        ("puget-a", "puget", {"127.0.0.1", "127.0.0.2"}),
+        ("inland-a", "inland", {"127.0.0.4", "127.0.0.5"}),
+        ("puget-b", "puget", {"127.0.0.1", "127.0.0.2", "127.0.0.3"}),
+    ],
+)
+def test_own_domain_comes_first_and_others_only_where_it_has_few(domain, region, expected):
+    assert set(_named(_state(ManualClock()), domain, region)) == expected
+
+
+def test_silent_and_leaving_vms_are_not_named():
+    clock = ManualClock()
+    state = _state(clock)
+    _report(state, "inland-a-1", 2, leaving=True)
+    assert "127.0.0.4" not in _named(state, "inland-a", "inland")
+    clock.advance(timedelta(seconds=3))
+    assert _named(state, "inland-a", "inland") == ["127.0.0.1"]
+
+
+def test_vm_that_leaves_does_not_name_itself():
+    state = _state(ManualClock())
+    state.stopping = True
+    assert "127.0.0.1" not in _named(state, "puget-a", "puget")
+
+
+def test_life_is_no_longer_than_the_settings_allow():
+    state = _state(ManualClock())
+    request = HttpRequest("GET", "/resolve?name=x&region=puget&zone=puget-a", (), b"")
+    life = LookupApi(state).handle(request).json()["ttl"]
+    assert life == "2500ms"
--- /dev/null
+++ b/packages/gateway/tests/test_selection.py
@@ -0,0 +1,161 @@
+"""Requests go to warm targets with room, near as room allows, and never to forbidden ones."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from gateway_builders import configuration, identity, new_selection, new_state, route, target
+
+from carawayquay.clock import ManualClock
+from carawayquay.load_reports import LoadReport, TargetCount, short_hash
+from carawayquay.placement import Placed, Refused
+from carawayquay_platform.configuration import parse_configuration
+
+DOMAINS = {"puget-a": "a", "puget-b": "b", "inland-a": "i"}
+
+
+def _targets(count=2, **changes):
+    return [
+        (f"{letter}{index}", target(f"127.0.0.1:{ord(letter)}{index}", zone=domain, **changes))
+        for domain, letter in DOMAINS.items()
+        for index in range(count)
+    ]
+
+
+def _route(**changes):
+    return parse_configuration(configuration(route(**changes))).routes[0]
+
+
+def _place(selection, key="k1", chosen=None, **changes):
+    return selection.select(chosen or _route(), "granite", key, 0.0, 1.0, **changes)
+
+
+def test_object_has_one_home_in_all_domains():
+    homes = set()
+    for domain, region in (("puget-a", "puget"), ("puget-b", "puget"), ("inland-a", "inland")):
+        state = new_state(targets=_targets(), vm=identity(domain=domain, region=region))
+        homes.add(_place(new_selection(state)).target.name)
+    assert len(homes) == 1
+
+
+def test_objects_are_spread_over_all_targets():
+    state = new_state(targets=_targets())
+    selection = new_selection(state)
+    used = {_place(selection, f"k{index}").target.name for index in range(100)}
+    assert used == {name for name, _ in _targets()}
+
+
+def test_near_target_that_became_warm_is_the_home_of_its_domain():
+    state = new_state(targets=_targets())
+    selection = new_selection(state)
+    key = next(
+        f"k{index}"
+        for index in range(100)
+        if _place(selection, f"k{index}").target.domain == "inland-a"
+    )
+    for name in ("a0", "a1"):
+        state.stats(name).note_warm(short_hash(key))
+    assert _place(selection, key).target.domain == "puget-a"
+
+
+@pytest.mark.parametrize(
+    "forbid",
+    [
+        lambda state: state.evacuated.add("inland-a"),
+        lambda state: [state.targets.remove(name) for name in ("i0", "i1")],
+        lambda state: [
+            setattr(state.stats(name), "ejected_until", timedelta(seconds=9))
+            for name in ("i0", "i1")
+        ],
+    ],
+)
+def test_evacuated_removed_and_failing_targets_get_nothing(forbid):
+    state = new_state(targets=_targets())
+    forbid(state)
+    selection = new_selection(state)
+    domains = {_place(selection, f"k{index}").target.domain for index in range(60)}
+    assert domains == {"puget-a", "puget-b"}
+
+
+def test_routes_regions_are_kept_to():
+    state = new_state(targets=_targets())
+    selection = new_selection(state)
+    only = _route(allowed_regions=["inland"])
+    places = {_place(selection, f"k{index}", only).target.region for index in range(30)}
+    assert places == {"inland"}
+    nowhere = _route(allowed_regions=["mars"])
+    assert _place(selection, chosen=nowhere) == Refused(None)
+
+
+def test_targets_that_were_tried_get_nothing_more():
+    state = new_state(targets=_targets())
+    names = {name for name, _ in _targets()}
+    left = sorted(names)[0]
+    placed = _place(new_selection(state), tried=names - {left})
+    assert placed.target.name == left
+
+
+def test_requests_of_other_vms_at_a_target_count():
+    state = new_state(targets=_targets(1))
+    selection = new_selection(state)
+    home = _place(selection).target
+    busy = tuple(TargetCount(short_hash(name), 400) for name, _ in _targets(1) if name != home.name)
+    full = (TargetCount(short_hash(home.name), 400), *busy)
+    report = LoadReport(identity("puget-a-2", "127.0.0.2"), 1, False, (), targets=full)
+    state.peers.receive(report, state.clock.now())
+    refused = _place(selection)
+    assert isinstance(refused, Refused)
+    assert refused.wait > 0
+
+
+def test_short_queue_at_the_warm_target_is_preferred_to_a_cold_one():
+    state = new_state(targets=_targets(1))
+    selection = new_selection(state)
+    home = _place(selection).target
+    state.service("granite").times.record(0.06, warm=True)
+    state.service("granite").times.record(0.2, warm=False)
+    state.stats(home.name).running = home.slots + 1
+    assert _place(selection).target is home
+    state.stats(home.name).running = 4 * home.slots
+    assert _place(selection).target is not home or isinstance(_place(selection), Refused)
+
+
+def test_slow_target_is_left_before_its_answers_are_late():
+    state = new_state(targets=_targets(2))
+    selection = new_selection(state)
+    home = _place(selection).target
+    state.stats(home.name).slowness = 12.0
+    assert _place(selection).target is not home
+
+
+def test_only_a_part_of_the_requests_leaves_the_region_for_lack_of_room():
+    clock = ManualClock()
+    state = new_state(clock=clock, targets=_targets(1))
+    selection = new_selection(state)
+    key = next(f"k{i}" for i in range(100) if _place(selection, f"k{i}").target.region == "inland")
+    state.stats("i0").running = 400
+    left = 0
+    for _ in range(100):
+        selection.count_request()
+        left += isinstance(_place(selection, key), Placed)
+        clock.advance(timedelta(milliseconds=10))
+    assert 1 <= left <= 6
+
+
+def test_cold_target_gets_no_more_than_this_vms_share():
+    clock = ManualClock()
+    state = new_state(clock=clock, targets=[("c0", target(cold_left="3000ms"))])
+    for index in range(2, 6):
+        state.peers.learn(identity(f"puget-a-{index}", f"127.0.0.{index}"), clock.now())
+    sent = 0
+    for _ in range(100):
+        now = clock.now()
+        if state.may_use(state.targets.get("c0"), now):
+            state.cold_rates.count("c0", now)
+            sent += 1
+        clock.advance(timedelta(milliseconds=10))
+    whole = int((20 * 1.5 + 5) * 0.8)
+    assert sent <= -(-whole // 5)
+    clock.advance(timedelta(seconds=3))
+    assert state.may_use(state.targets.get("c0"), clock.now())
--- /dev/null
+++ b/packages/gateway/tests/test_watcher.py
@@ -0,0 +1,173 @@
+"""A watcher follows the store through its faults, and other entry VMs where it can't."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import attrs
+import curio
+import pytest
+from curio.network import run_server, tcp_server_socket
+from gateway_builders import configuration, identity, new_state, run, settings, target
+
+from carawayquay.clock import MonotonicClock
+from carawayquay.load_reports import LoadReport
+from carawayquay.membership import Address
+from carawayquay_gateway.admin import AdminApi, reject
+from carawayquay_gateway.state import GatewayState
+from carawayquay_gateway.watcher import Watcher
+from carawayquay_platform.objects import ObjectKind
+from carawayquay_platform.store import PlatformStore
+from carawayquay_standins.platform_store import PlatformStoreStandIn
+from carawayquay_wire.http_server import HttpServer
+from carawayquay_wire.metrics import Metrics
+
+KINDS = (ObjectKind.CONFIGURATION, ObjectKind.TARGETS, ObjectKind.EVACUATIONS)
+
+
+async def _listen(server, host="127.0.0.1"):
+    sock = tcp_server_socket(host, 0)
+    await curio.spawn(run_server, sock, server.serve, daemon=True)
+    return Address(host, sock.getsockname()[1])
+
+
+async def _started(store, state=None):
+    """Return a state that watchers keep current from a store."""
+    address = await _listen(store.http)
+    if state is None:
+        state = GatewayState(settings(), MonotonicClock(), Metrics(), identity())
+    client = PlatformStore(address, timedelta(milliseconds=300))
+    for kind in KINDS:
+        watcher = Watcher(
+            state, client, state.replicas[kind], random.Random(1), timedelta(seconds=0.5)
+        )
+        await curio.spawn(watcher.run, daemon=True)
+    return state
+
+
+async def _until(condition):
+    while not condition():
+        await curio.sleep(0.01)
+
+
+async def _filled():
+    store = PlatformStoreStandIn()
+    await store.put("config", "main", configuration(version=3))
+    await store.put("servers", "t1", target("127.0.0.1:81"))
+    return store
+
+
+def test_state_follows_each_kind_of_object():
+    async def check():
+        store = await _filled()
+        state = await _started(store)
+        await _until(lambda: state.ready)
+        assert state.configuration.version == 3
+        await store.put("servers", "t2", target("127.0.0.1:82", service="sledway"))
+        await store.put("evacuations", "puget-b", {})
+        await store.put("config", "main", configuration(version=5))
+        await _until(lambda: state.configuration.version == 5 and state.evacuated)
+        await _until(lambda: state.targets.get("t2"))
+        await store.remove("evacuations", "puget-b")
+        await store.remove("servers", "t1")
+        await _until(lambda: not state.evacuated and not state.targets.get("t1"))
+
+    run(check)
+
+
+def test_history_that_the_store_forgot_is_made_up_by_a_list():
+    async def check():
+        store = await _filled()
+        state = await _started(store)
+        await _until(lambda: state.ready)
+        await store.forget_history()
+        await store.put("servers", "t2", target("127.0.0.1:82"))
+        await _until(lambda: state.targets.get("t2"))
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    "fault", [{"down": True}, {"refuse_status": 503}, {"refuse_status": 429}, {"silent": True}]
+)
+def test_what_changed_in_an_outage_is_known_after_it(fault):
+    async def check():
+        store = await _filled()
+        state = await _started(store)
+        await _until(lambda: state.ready)
+        for name, value in fault.items():
+            setattr(store.faults, name, value)
+        await store.put("servers", "t2", target("127.0.0.1:82"))
+        await store.remove("servers", "t1")
+        await curio.sleep(0.3)
+        for name in fault:
+            setattr(store.faults, name, type(getattr(store.faults, name))())
+        await _until(lambda: state.targets.get("t2") and not state.targets.get("t1"))
+
+    run(check)
+
+
+def test_version_never_goes_back():
+    async def check():
+        store = await _filled()
+        state = await _started(store)
+        await _until(lambda: state.ready)
+        await store.put("config", "main", configuration(version=2))
+        await store.put("servers", "t2", target("127.0.0.1:82"))
+        await _until(lambda: state.targets.get("t2"))
+        assert state.configuration.version == 3
+
+    run(check)
+
+
+def test_unreadable_objects_leave_the_others_in_force():
+    async def check():
+        store = await _filled()
+        await store.put("servers", "bad", {"service": "granite", "state": "dancing"})
+        await store.put("servers", "worse", "not an object")
+        state = await _started(store)
+        await _until(lambda: state.ready)
+        assert [it.name for it in state.targets] == ["t1"]
+        await store.put("config", "main", {"version": "12"})
+        await store.put("servers", "t2", target("127.0.0.1:82"))
+        await _until(lambda: state.targets.get("t2"))
+        assert state.configuration.version == 3
+
+    run(check)
+
+
+def test_vm_that_the_store_turns_away_learns_from_another_vm():
+    async def check():
+        store = await _filled()
+        neighbour = new_state(
+            clock=MonotonicClock(),
+            configured=configuration(version=7),
+            targets=[("t5", target("127.0.0.1:85"))],
+        )
+        server = HttpServer(AdminApi(neighbour).handle, reject)
+        address = await _listen(server, "127.0.0.2")
+        changed = attrs.evolve(settings(), admin=Address("127.0.0.1", address.port))
+        state = GatewayState(changed, MonotonicClock(), Metrics(), identity())
+        store.faults.refuse_status = 503
+        await _started(store, state)
+        sender = identity("puget-a-2", "127.0.0.2")
+
+        async def report():
+            sequence = 0
+            while True:
+                sequence += 1
+                revisions = tuple(replica.changed for replica in neighbour.replicas.values())
+                state.peers.receive(LoadReport(sender, sequence, False, revisions), _now(state))
+                await curio.sleep(0.1)
+
+        await curio.spawn(report, daemon=True)
+        await _until(lambda: state.ready)
+        assert state.configuration.version == 7
+        assert state.targets.get("t5")
+
+    run(check)
+
+
+def _now(state):
+    return state.clock.now()
--- /dev/null
+++ b/standins/src/carawayquay_standins/platform_store.py
@@ -0,0 +1,199 @@
+"""A stand-in for the users' platform's store, with its faults on command."""
+
+from __future__ import annotations
+
+import copy
+import json
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import attrs
+import curio
+
+from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse, json_response
+from carawayquay_wire.http_server import HttpServer
+
+__all__ = ["PlatformFaults", "PlatformStoreStandIn"]
+
+_PAGE_ITEMS = 500
+
+
+@attrs.define
+class PlatformFaults:
+    """What goes wrong on command.
+
+    :param down: close every connection without an answer
+    :param silent: take calls and never answer them
+    :param refuse_status: answer every call with this status, where it is not 0
+    :param delay_seconds: time by which each answer is late
+    :param lose_writes: apply so many writes and close without an answer
+    :param deaf_to: callers' IP addresses that get status 503
+    """
+
+    down: bool = False
+    silent: bool = False
+    refuse_status: int = 0
+    delay_seconds: float = 0.0
+    lose_writes: int = 0
+    deaf_to: set[str] = attrs.field(factory=set)
+
+
+class PlatformStoreStandIn:
+    """Objects by kind and name, in memory, behind HTTP."""
+
+    def __init__(self, page_items: int = _PAGE_ITEMS) -> None:
+        self._page_items = page_items
+        self._revision = 1
+        self._kinds: dict[str, dict[str, Any]] = {}
+        self._history: list[tuple[int, str, dict[str, Any]]] = []
+        self._forgotten = 0
+        self._changed = curio.Condition()
+        self.faults = PlatformFaults()
+        self.calls: list[str] = []
+        self.http = HttpServer(self._handle, _reject, HttpLimits(body_bytes=1024 * 1024))
+
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def object(self, kind: str, name: str) -> dict[str, Any] | None:
+        """Return an object, or None."""
+        return self._kinds.get(kind, {}).get(name)
+
+    async def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator or a target does, and return its revision."""
+        known = self.object(kind, name)
+        return await self._store(kind, _object(name, spec, known), deleted=False)
+
+    async def remove(self, kind: str, name: str) -> None:
+        """Remove an object as the operator or a target does."""
+        known = self._kinds.get(kind, {}).get(name)
+        if known is not None:
+            await self._store(kind, known, deleted=True)
+
+    async def forget_history(self) -> None:
+        """Forget all changes so far; watches from before end."""
+        self._forgotten = self._revision
+        async with self._changed:
+            await self._changed.notify_all()
+
+    async def _store(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> int:
+        self._revision += 1
+        stored = copy.deepcopy(stored)
+        stored["metadata"]["revision"] = self._revision
+        if deleted:
+            self._kinds[kind].pop(stored["metadata"]["name"], None)
+        else:
+            self._kinds.setdefault(kind, {})[stored["metadata"]["name"]] = stored
+        event = {"object": stored, "deleted": deleted}
+        self._history.append((self._revision, kind, event))
+        async with self._changed:
+            await self._changed.notify_all()
+        return self._revision
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse | None:
+        faults = self.faults
+        self.calls.append(f"{request.method} {request.target}")
+        if faults.silent:
+            await curio.Event().wait()
+        if faults.down:
+            return None
+        if faults.refuse_status:
+            return HttpResponse(faults.refuse_status)
+        if request.peer in faults.deaf_to:
+            return HttpResponse(503)
+        if faults.delay_seconds:
+            await curio.sleep(faults.delay_seconds)
+        answer = await self._answer(request)
+        if request.method != "GET" and faults.lose_writes > 0:
+            faults.lose_writes -= 1
+            return None
+        return answer
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        url = urlsplit(request.target)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        match [unquote(part) for part in url.path.split("/") if part]:
+            case ["objects", kind] if request.method == "GET" and "watch" in query:
+                return await self._watch(kind, int(query["watch"]), int(query["wait_ms"]))
+            case ["objects", kind] if request.method == "GET":
+                return self._list(kind, query.get("after", ""))
+            case ["objects", kind] if request.method == "POST":
+                return await self._create(kind, json.loads(request.body))
+            case ["objects", kind, name] if request.method == "GET":
+                return self._found(kind, name)
+            case ["objects", kind, name] if request.method == "PUT":
+                return await self._replace(kind, name, json.loads(request.body))
+            case ["objects", kind, name] if request.method == "DELETE":
+                return await self._delete(kind, name, query.get("revision"))
+        return HttpResponse(404)
+
+    def _found(self, kind: str, name: str) -> HttpResponse:
+        found = self.object(kind, name)
+        return HttpResponse(404) if found is None else json_response(200, found)
+
+    def _list(self, kind: str, after: str) -> HttpResponse:
+        names = sorted(name for name in self._kinds.get(kind, {}) if name > after)
+        page = names[: self._page_items]
+        value = {
+            "items": [self._kinds[kind][name] for name in page],
+            "has_more": len(names) > len(page),
+            "current_rev": self._revision,
+        }
+        return json_response(200, value)
+
+    async def _watch(self, kind: str, after: int, wait_ms: int) -> HttpResponse:
+        events: list[Any] = []
+        async with curio.ignore_after(wait_ms / 1000), self._changed:
+            while after >= self._forgotten and not (events := self._events(kind, after)):
+                await self._changed.wait()
+        if after < self._forgotten:
+            return HttpResponse(410)
+        return json_response(200, {"events": events, "current_rev": self._revision})
+
+    def _events(self, kind: str, after: int) -> list[Any]:
+        return [event for revision, of, event in self._history if revision > after and of == kind]
+
+    async def _create(self, kind: str, body: Any) -> HttpResponse:
+        name = body["metadata"]["name"]
+        known = self.object(kind, name)
+        if known is not None:
+            return json_response(409, known)
+        await self._store(kind, _object(name, body.get("spec"), None), deleted=False)
+        return json_response(200, self.object(kind, name))
+
+    async def _replace(self, kind: str, name: str, body: Any) -> HttpResponse:
+        known = self.object(kind, name)
+        if known is None:
+            return HttpResponse(404)
+        revision = body["metadata"].get("revision")
+        if revision is not None and revision != known["metadata"]["revision"]:
+            return json_response(409, known)
+        if body.get("spec") != known["spec"]:
+            await self._store(kind, _object(name, body.get("spec"), known), deleted=False)
+        return json_response(200, self.object(kind, name))
+
+    async def _delete(self, kind: str, name: str, revision: str | None) -> HttpResponse:
+        known = self.object(kind, name)
+        if known is None:
+            return HttpResponse(404)
+        if revision is not None and int(revision) != known["metadata"]["revision"]:
+            return json_response(409, known)
+        await self._store(kind, known, deleted=True)
+        return json_response(200, known)
+
+
+def _object(name: str, spec: Any, known: dict[str, Any] | None) -> dict[str, Any]:
+    metadata = {
+        "name": name,
+        "revision": 0,
+        "created": known["metadata"]["created"] if known else 0,
+        "finalizers": [],
+        "pending_delete": False,
+    }
+    return {"metadata": metadata, "spec": spec, "status": None}
+
+
+def _reject(status: int, _: str) -> HttpResponse:
+    return HttpResponse(status)
