Read settings again on SIGHUP and without it; take unreachable targets for cold

Cause: SIGHUP ended the process by default, and a target that came back before its registration would have got its full share while cold. Tests fail without either.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -20,6 +20,7 @@
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.lookups import LookupApi
 from carawayquay_gateway.peers import PeerExchange
+from carawayquay_gateway.reload import SettingsReloader
 from carawayquay_gateway.round_trips import RoundTrips
 from carawayquay_gateway.selection import Selection
 from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
@@ -32,7 +33,7 @@
 from carawayquay_wire.line_output import LineOutput
 from carawayquay_wire.listener import Listener
 from carawayquay_wire.metrics import Metrics
-from carawayquay_wire.signals import StopSignal
+from carawayquay_wire.signals import ReloadSignal, StopSignal
 
 if TYPE_CHECKING:
     from carawayquay.membership import Address
@@ -59,9 +60,14 @@
     """One gateway: its parts, its listening sockets and its planned stop."""
 
     def __init__(
-        self, settings: GatewaySettings, output: LineOutput, clock: Clock | None = None
+        self,
+        settings: GatewaySettings,
+        path: Path,
+        output: LineOutput,
+        clock: Clock | None = None,
     ) -> None:
         self._settings = settings
+        self._path = path
         self._output = output
         seed = secrets.randbits(63)
         identity = VMIdentity(
@@ -115,6 +121,7 @@
             await group.spawn(self._keep_entry)
             await group.spawn(self._update)
             await group.spawn(self._flush)
+            await group.spawn(SettingsReloader(self._state, self._path).run, ReloadSignal())
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
         if group.completed.exception is not None:
             raise group.completed.exception
@@ -186,7 +193,8 @@
 
     :param settings: path of the INI file
     """
-    loaded = load_gateway_settings(Path(settings))
+    path = Path(settings)
+    loaded = load_gateway_settings(path)
     output = LineOutput(sys.stdout.fileno())
     set_up_bounded_logging(loaded.log_level, output)
-    curio.run(Gateway(loaded, output).run)
+    curio.run(Gateway(loaded, path, output).run)
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from carawayquay.discovery import RegisteredTarget
     from carawayquay.forwarding import CallerRequest, TargetAnswer
     from carawayquay.membership import Address
     from carawayquay.routes import Route
@@ -291,10 +292,19 @@
         stats.failed(now)
         outcome = "timeout" if failure.timed_out else "broken" if failure.sent else "unreachable"
         self._log_attempt(exchange, placed, outcome)
-        if failure.sent and not failure.timed_out:
+        if not failure.sent:
+            self._take_for_restarting(placed.target, now)
+        elif not failure.timed_out:
             await self._http.drop_idle(placed.target.address)
             await curio.spawn(self._check_crash, exchange.fingerprint, placed, daemon=True)
 
+    def _take_for_restarting(self, target: RegisteredTarget, now: timedelta) -> None:
+        """Take a target that can't be reached for one that will be cold when it is back."""
+        configuration = self._state.configuration
+        spec = configuration.service(target.service) if configuration is not None else None
+        if spec is not None:
+            self._state.targets.mark_cold(target.name, spec.cold_start, now)
+
     async def _check_crash(self, fingerprint: int, placed: Placed) -> None:
         """Count a crash if a target whose connection broke takes no new one."""
         address = placed.target.address
@@ -306,6 +316,7 @@
             now = self._state.clock.now()
             count = self._crashes.crash(fingerprint, now)
             self._state.stats(placed.target.name).ejected_until = now + timedelta(seconds=1)
+            self._take_for_restarting(placed.target, now)
             _log.warning(
                 Event.TARGET_LOST,
                 target=placed.target.name,
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/reload.py
@@ -0,0 +1,70 @@
+"""Reads the settings file again when it changed, with and without a signal."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import curio
+
+from carawayquay.errors import SettingsError
+from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
+from carawayquay_wire.events import Event, EventLog
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.signals import ReloadSignal
+
+__all__ = ["SettingsReloader", "merged"]
+
+_log = EventLog("reload")
+
+#: How often the file is looked at without a signal.
+_LOOK_SECONDS = 2.0
+
+#: Settings that are fixed while a process runs, since its sockets are bound to them.
+_FIXED = ("name", "domain", "region", "callers", "ready", "lookups", "admin", "ports")
+
+
+def merged(present: GatewaySettings, loaded: GatewaySettings) -> GatewaySettings:
+    """Return loaded settings, with those that are fixed while a process runs as they are."""
+    return attrs.evolve(loaded, **{name: getattr(present, name) for name in _FIXED})
+
+
+class SettingsReloader:
+    """Applies changed settings; broken ones leave the present ones in force."""
+
+    def __init__(self, state: GatewayState, path: Path) -> None:
+        self._state = state
+        self._path = path
+        self._seen = self._stamp()
+
+    async def run(self, signal: ReloadSignal) -> None:
+        """Follow the file until cancelled."""
+        while True:
+            async with curio.ignore_after(_LOOK_SECONDS):
+                await signal.wait()
+                self._seen = None
+            stamp = self._stamp()
+            if stamp != self._seen:
+                self._seen = stamp
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file and apply it."""
+        try:
+            loaded = load_gateway_settings(self._path)
+        except SettingsError as error:
+            _log.warning(Event.SETTINGS_REFUSED, path=self._path, reason=error)
+            return
+        self._state.settings = merged(self._state.settings, loaded)
+        _log.info(Event.SETTINGS_RELOADED, path=self._path)
+
+    def _stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self._path.stat()
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -164,3 +164,14 @@
     assert answer.status == 500
     assert answer.header(b"server-stamp") == "s1"
     assert sum(len(it.requests) for it in started) == 2
+
+
+def test_target_that_can_not_be_reached_is_taken_for_cold_when_it_is_back():
+    async def unreachable():
+        forwarder, state = new_forwarder([("t0", target("127.0.0.1:1"))])
+        answer = await forwarder.handle(request())
+        return answer, state
+
+    answer, state = run(unreachable)
+    assert answer.status == 503
+    assert state.targets.cold("t0", state.clock.now())
--- /dev/null
+++ b/packages/gateway/tests/test_reload.py
@@ -0,0 +1,52 @@
+"""Changed settings apply with and without a signal; broken ones leave the present in force."""
+
+from __future__ import annotations
+
+import os
+import signal
+
+import curio
+import pytest
+from gateway_builders import SETTINGS_TEXT, new_state, run
+
+from carawayquay.membership import Address
+from carawayquay_gateway.reload import SettingsReloader
+from carawayquay_wire.signals import ReloadSignal
+
+CHANGED = SETTINGS_TEXT.replace("seeds = 127.0.0.1:7004,127.0.0.2:7004", "seeds = 127.0.0.9:7004")
+MOVED = CHANGED.replace("callers = 127.0.0.1:7001", "callers = 127.0.0.1:9999")
+
+
+def _reload(tmp_path, text, signalled):
+    path = tmp_path / "settings.ini"
+    path.write_text(SETTINGS_TEXT)
+    state = new_state()
+
+    async def check():
+        reloader = SettingsReloader(state, path)
+        await curio.spawn(reloader.run, ReloadSignal(), daemon=True)
+        await curio.sleep(0.05)
+        path.write_text(text)
+        if signalled:
+            os.kill(os.getpid(), signal.SIGHUP)
+            await curio.sleep(0.3)
+        while not signalled and state.settings.seeds[0].host != "127.0.0.9":
+            await curio.sleep(0.05)
+
+    run(check)
+    return state.settings
+
+
+@pytest.mark.parametrize("signalled", [True, False])
+def test_changed_settings_apply(tmp_path, signalled):
+    settings = _reload(tmp_path, CHANGED, signalled)
+    assert settings.seeds == (Address("127.0.0.9", 7004),)
+
+
+def test_addresses_that_are_bound_stay(tmp_path):
+    assert _reload(tmp_path, MOVED, True).callers == Address("127.0.0.1", 7001)
+
+
+def test_broken_settings_leave_the_present_ones_in_force(tmp_path):
+    settings = _reload(tmp_path, "[vm]\nname = x\n", True)
+    assert settings.seeds[0] == Address("127.0.0.1", 7004)
--- a/packages/wire/src/carawayquay_wire/signals.py
+++ b/packages/wire/src/carawayquay_wire/signals.py
@@ -1,4 +1,4 @@
-"""Signals that ask a process for a planned stop."""
+"""Signals that ask a process for a planned stop, or to read its settings again."""
 
 from __future__ import annotations
 
@@ -8,27 +8,41 @@
 
 from curio.io import Socket
 
-__all__ = ["StopSignal"]
+__all__ = ["ReloadSignal", "StopSignal"]
 
 
-class StopSignal:
-    """Waits for SIGTERM or SIGINT.
+class _Signal:
+    """Waits for any of some signals.
 
     The handler only writes a byte to a socket, since it may interrupt the event loop anywhere,
     also where the loop holds a lock.
     """
 
+    _numbers: tuple[signal.Signals, ...] = ()
+
     def __init__(self) -> None:
         reader, self._writer = socket.socketpair()
         self._writer.setblocking(False)
         self._reader = Socket(reader)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in self._numbers:
             signal.signal(number, self._handle)
 
     async def wait(self) -> None:
-        """Return when a stop is asked for; one task at a time may wait."""
+        """Return when a signal has come; one task at a time may wait."""
         await self._reader.recv(1)
 
     def _handle(self, *_: object) -> None:
         with suppress(BlockingIOError):
             self._writer.send(b"\0")
+
+
+class StopSignal(_Signal):
+    """Waits for SIGTERM or SIGINT, which ask for a planned stop."""
+
+    _numbers = (signal.SIGTERM, signal.SIGINT)
+
+
+class ReloadSignal(_Signal):
+    """Waits for SIGHUP, which says that the settings file has changed."""
+
+    _numbers = (signal.SIGHUP,)
