--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -14,11 +14,14 @@
 
 __all__ = ["EntryPeers", "Peer"]
 
-#: Silence after which a VM is not named to callers any more; reports come several times a second.
-SILENCE = timedelta(seconds=2)
+#: Silence after which a VM is not named to callers any more: several reports that did not come.
+#: VMs of the own failure domain report most often, those of other regions least.
+_DOMAIN_SILENCE = timedelta(seconds=1.2)
+_REGION_SILENCE = timedelta(seconds=2.5)
+_FAR_SILENCE = timedelta(seconds=4)
 
 #: How long the in-flight counts of a report stand for the present.
-_COUNTS_LIFE = timedelta(seconds=1)
+_COUNTS_LIFE = timedelta(seconds=2.5)
 
 #: Silence after which a VM is forgotten.
 _MEMORY = timedelta(seconds=60)
@@ -30,16 +33,18 @@
 
     :param heard: when its last report came, or None if it is known by hearsay only
     :param learned: when this VM first heard of it
+    :param silence: time without a report after which it is taken for gone
     """
 
     identity: VMIdentity
     learned: timedelta
+    silence: timedelta
     heard: timedelta | None = None
     report: LoadReport | None = None
 
     def live(self, now: timedelta) -> bool:
         """Return whether the VM reported lately."""
-        return self.heard is not None and now - self.heard < SILENCE
+        return self.heard is not None and now - self.heard < self.silence
 
 
 class EntryPeers:
@@ -93,7 +98,7 @@
         known = self._peers.get(identity.name)
         if known is None or identity.incarnation > known.identity.incarnation:
             self._forget_counts(identity.name)
-            self._peers[identity.name] = Peer(identity, now)
+            self._peers[identity.name] = Peer(identity, now, self._silence(identity))
 
     def receive(self, report: LoadReport, now: timedelta) -> bool:
         """Take a report; return False if a newer one is known."""
@@ -109,7 +114,7 @@
             if last is not None and same_start and report.sequence <= last.sequence:
                 return False
         if peer is None or report.sender != peer.identity:
-            peer = self._peers[name] = Peer(report.sender, now)
+            peer = self._peers[name] = Peer(report.sender, now, self._silence(report.sender))
         peer.heard = now
         peer.report = report
         self._forget_counts(name)
@@ -138,6 +143,11 @@
         self._turn += count
         return tuple((live + live)[start : start + count])
 
+    def _silence(self, identity: VMIdentity) -> timedelta:
+        if identity.domain == self._own.domain:
+            return _DOMAIN_SILENCE
+        return _REGION_SILENCE if identity.region == self._own.region else _FAR_SILENCE
+
     def _forget_counts(self, name: str) -> None:
         report = self._counted.pop(name, None)
         if report is None:
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -14,9 +14,11 @@
 from carawayquay_wire.reports import MAX_DATAGRAM_BYTES, decode_report, encode_report
 
 if TYPE_CHECKING:
+    from datetime import timedelta
     from typing import Any
 
     from carawayquay.crash_counts import CrashCounts
+    from carawayquay.load_reports import VMIdentity
     from carawayquay.warm_news import WarmNews
     from carawayquay_gateway.state import GatewayState
 
@@ -24,17 +26,20 @@
 
 _log = EventLog("peers")
 
-#: Time between reports to VMs of the own region while there are few of them.
-_NEAR_SECONDS = 0.2
+#: Time between reports to VMs of the own failure domain, while there are few of them.
+_TURN_SECONDS = 0.2
 
-#: Reports to VMs of other regions are sent once in so many turns.
-_FAR_TURNS = 3
+#: Reports to VMs of the own region, and to those of others, are sent once in so many turns.
+_REGION_TURNS = 3
+_FAR_TURNS = 6
+
+#: Reports name other VMs once in so many turns.
+_MEMBERS_TURNS = 10
+_MEMBERS_IN_REPORT = 3
 
 #: Datagrams that one VM sends in a second at the most, however many VMs there are.
 _MAX_DATAGRAMS_PER_SECOND = 150
 
-_MEMBERS_IN_REPORT = 4
-
 #: Turns in which seeds are told of this VM though they have not been heard of.
 _SEED_TURNS = 3
 
@@ -49,7 +54,6 @@
         self._sequence = 0
         self._turn = 0
         self._sock: Any = None
-        self._next_far = 0
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
@@ -96,25 +100,27 @@
             self._turn += 1
 
     def _interval(self, datagrams: int) -> float:
-        return max(_NEAR_SECONDS, datagrams / _MAX_DATAGRAMS_PER_SECOND)
+        return max(_TURN_SECONDS, datagrams / _MAX_DATAGRAMS_PER_SECOND)
 
     def _next_hosts(self) -> list[str]:
-        """Return the VMs that are told in this turn."""
-        region = self._state.settings.region
-        own = self._state.identity.host
-        peers = [peer.identity for peer in self._state.peers]
-        near = [peer.host for peer in peers if peer.region == region]
-        far = [peer.host for peer in peers if peer.region != region]
-        part = -(-len(far) // _FAR_TURNS)
-        start = self._next_far
-        hosts = near + far[start : start + part]
-        self._next_far = start + part if start + part < len(far) else 0
+        """Return the VMs that are told in this turn, the farther ones less often."""
+        hosts = []
+        known = {self._state.identity.host}
+        for index, peer in enumerate(self._state.peers):
+            known.add(peer.identity.host)
+            if (self._turn + index) % self._turns(peer.identity) == 0:
+                hosts.append(peer.identity.host)
         if self._turn % _SEED_TURNS == 0:
-            known = {peer.host for peer in peers} | {own}
             seeds = {seed.host for seed in self._state.settings.seeds}
             hosts += sorted(seeds - known)
         return hosts
 
+    def _turns(self, vm: VMIdentity) -> int:
+        """Return in which turns a VM is told: once in so many."""
+        if vm.domain == self._state.identity.domain:
+            return 1
+        return _REGION_TURNS if vm.region == self._state.identity.region else _FAR_TURNS
+
     async def _send_to(self, hosts: list[str]) -> None:
         if not hosts:
             return
@@ -142,5 +148,10 @@
             ),
             crashes=self._crashes.reports(now),
             warmed=self._warm.current(now),
-            members=state.peers.some_members(_MEMBERS_IN_REPORT, now),
+            members=self._members(now),
         )
+
+    def _members(self, now: timedelta) -> tuple[VMIdentity, ...]:
+        if self._turn % _MEMBERS_TURNS:
+            return ()
+        return self._state.peers.some_members(_MEMBERS_IN_REPORT, now)
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -34,7 +34,7 @@
 _SPILL_PART = 0.06
 
 #: Part of the requests that may go to a near target that is cold for them, to make it warm.
-_INVESTED_PART = 0.1
+_INVESTED_PART = 0.2
 
 #: Bodies of at least this size are worth a target of the own domain that is warm for them.
 _WORTHWHILE_BYTES = 1500
