--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -87,7 +87,7 @@
         usable = self._usable(route, service, tried)
         if not usable:
             return Refused(None)
-        home = self._home(service, key, usable)
+        home = self._home(route, service, key, usable)
         request = _Request(route, service, key, elapsed, left)
         chosen = self._cheapest(
             request, [target for target in usable if target.region == home.region], home
@@ -115,7 +115,7 @@
         local = by_name[preferred(key, near)]
         if local is common or self._state.stats(local.name).warm(short_hash(key)):
             return local
-        if not self._worth_warming(service, local, common):
+        if not route.idempotent or not self._worth_warming(service, local, common):
             return common
         return local
 
@@ -167,14 +167,14 @@
 
     def _usable(self, route: Route, service: str, tried: Collection[str]) -> list[RegisteredTarget]:
         """Return the targets that may get a request."""
-        now = self._state.clock.now()
         allowed = route.allowed_regions
+        usable = self._state.usable(service, self._state.clock.now())
+        if not tried and not allowed:
+            return usable
         return [
             target
-            for target in self._state.targets.ready(service)
-            if target.name not in tried
-            and (not allowed or target.region in allowed)
-            and self._state.may_use(target, now)
+            for target in usable
+            if target.name not in tried and (not allowed or target.region in allowed)
         ]
 
 
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -135,6 +135,10 @@
         """Return the targets at which this VM has requests in flight, and how many."""
         return [(name, stats.running) for name, stats in self._stats.items() if stats.running]
 
+    def usable(self, service: str, now: timedelta) -> list[RegisteredTarget]:
+        """Return the targets of a service to which a request may go now."""
+        return [target for target in self.targets.ready(service) if self.may_use(target, now)]
+
     def may_use(self, target: RegisteredTarget, now: timedelta) -> bool:
         """Return whether a request may go to a ready target now."""
         if target.domain in self.evacuated or not self.stats(target.name).usable(now):
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 import sys
 from typing import TYPE_CHECKING, Any
 
@@ -97,6 +98,9 @@
     return " ".join(pairs)
 
 
+#: Values that need no quotes.
+_PLAIN = re.compile(r'[^ "=\n\r]+')
+
 _TEMPLATE = (
     "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z level={record.level_name} "
     "logger={record.channel} {record.message}"
@@ -137,8 +141,8 @@
 
 
 def _quoted(value: Any) -> str:
-    text = str(value)
-    if text and not any(mark in text for mark in ' "=\n\r'):
+    text = value if isinstance(value, str) else str(value)
+    if _PLAIN.fullmatch(text):
         return text
     escaped = (
         text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n").replace("\r", "\\r")
