--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -102,31 +102,53 @@
             return chosen
         return elsewhere
 
-    def _home(self, service: str, key: str, usable: list[RegisteredTarget]) -> RegisteredTarget:
-        """Return the target that should serve an object of this domain's callers."""
+    def _home(
+        self, route: Route, service: str, key: str, usable: list[RegisteredTarget]
+    ) -> RegisteredTarget:
+        """Return the target that should serve an object of this domain's callers.
+
+        That is the one of the own domain, or the one that all domains have in common, if it is
+        warm for the object; else any that is warm, unless this request is to warm a better one.
+        """
         by_name = {target.name: target for target in usable}
         key = key or f"{self._random.random():f}"
         common = by_name[preferred(key, tuple(by_name))]
-        domain = self._state.settings.domain
-        near = tuple(target.name for target in usable if target.domain == domain)
-        measured = self._state.service(service)
-        if not near or key_position(service, key) >= measured.kept.share:
+        local = self._local(service, key, by_name)
+        warm = self._warm(key, usable)
+        wanted = common if local is None else local
+        if not warm:
             return common
-        local = by_name[preferred(key, near)]
-        if local is common or self._state.stats(local.name).warm(short_hash(key)):
-            return local
-        if not route.idempotent or not self._worth_warming(service, local, common):
+        if wanted in warm:
+            return wanted
+        if route.idempotent and self._worth_warming(service, wanted):
+            return wanted
+        if common in warm:
             return common
-        return local
+        return by_name[preferred(key, tuple(target.name for target in warm))]
 
-    def _worth_warming(
-        self, service: str, local: RegisteredTarget, common: RegisteredTarget
-    ) -> bool:
-        """Return whether a near target should become warm for an object that has a home."""
+    def _local(
+        self, service: str, key: str, by_name: dict[str, RegisteredTarget]
+    ) -> RegisteredTarget | None:
+        """Return the target of the own domain that an object prefers, if it should stay there."""
+        domain = self._state.settings.domain
+        near = tuple(name for name, target in by_name.items() if target.domain == domain)
+        if not near or key_position(service, key) >= self._state.service(service).kept.share:
+            return None
+        return by_name[preferred(key, near)]
+
+    def _warm(self, key: str, usable: list[RegisteredTarget]) -> list[RegisteredTarget]:
+        """Return the targets that are warm for an object, the near ones only if there are any."""
+        code = short_hash(key)
+        warm = [target for target in usable if self._state.stats(target.name).warm(code)]
+        region = self._state.settings.region
+        return [target for target in warm if target.region == region] or warm
+
+    def _worth_warming(self, service: str, target: RegisteredTarget) -> bool:
+        """Return whether a target should become warm for an object for which others are."""
         state = self._state
         if state.service(service).times.mean_bytes < _WORTHWHILE_BYTES:
             return False
-        if state.running(local.name) > _INVESTED_UTILIZATION * local.slots:
+        if state.running(target.name) > _INVESTED_UTILIZATION * target.slots:
             return False
         return self._invested.take(state.clock.now())
 
