Let one VM of each domain watch the store; the others follow its reports

A VM before another in the domain's order, which the store answers, frees it of the duty; digests in load reports show changes, which are taken from the nearest VM that has them.

--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -84,7 +84,8 @@
 
     :param sequence: counts the reports of one incarnation
     :param leaving: whether the VM has begun a planned stop
-    :param revisions: the store's revision up to which the VM knows each kind of object
+    :param revisions: the store's revision of the last change that the VM knows, for each kind
+    :param watching: whether the VM watches the store and is answered
     :param members: some of the live VMs that the sender knows, in turn
     """
 
@@ -92,6 +93,7 @@
     sequence: int
     leaving: bool
     revisions: tuple[int, ...]
+    watching: bool = False
     targets: tuple[TargetCount, ...] = ()
     rates: tuple[ServiceRate, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
--- a/packages/gateway/src/carawayquay_gateway/admin.py
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -48,7 +48,7 @@
     def _list(self, kind: str | None) -> HttpResponse:
         for replica in self._state.replicas.values():
             if replica.kind.value == kind and replica.revision is not None:
-                return json_response(200, listing_body(replica.revision, replica.objects))
+                return json_response(200, listing_body(replica.changed, replica.objects))
         return HttpResponse(404)
 
 
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -139,6 +139,7 @@
             sequence=self._sequence,
             leaving=state.stopping,
             revisions=tuple(replica.changed for replica in state.replicas.values()),
+            watching=state.watching,
             targets=tuple(
                 TargetCount(short_hash(name), running) for name, running in state.running_here()
             ),
--- a/packages/gateway/src/carawayquay_gateway/replicas.py
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from carawayquay_platform.objects import ObjectKind, StoredObject
     from carawayquay_platform.store import ObjectChanges, ObjectListing
@@ -52,7 +52,7 @@
 
     @property
     def changed(self) -> int:
-        """The greatest revision of any change that was seen."""
+        """The revision of the last change that was seen, the same wherever it was seen."""
         return self._changed
 
     @property
@@ -60,8 +60,11 @@
         """All objects."""
         return list(self._objects.values())
 
-    def apply_listing(self, listing: ObjectListing) -> bool:
-        """Take all objects; return False if the copy is newer than they are."""
+    def apply_listing(self, listing: ObjectListing, *, from_peer: bool = False) -> bool:
+        """Take all objects; return False if the copy is newer than they are.
+
+        :param from_peer: whether another VM gave them, whose revision is that of its last change
+        """
         if self._revision is not None and listing.revision < self._revision:
             return False
         listed = {stored.name for stored in listing.objects}
@@ -70,16 +73,22 @@
         for stored in listing.objects:
             self._put(stored)
         self._revision = listing.revision
+        if from_peer:
+            self._changed = max(self._changed, listing.revision)
         return True
 
     def apply_changes(self, changes: ObjectChanges) -> None:
         """Take what changed since the copy's revision."""
         for event in changes.events:
-            if event.deleted:
-                self._changed = max(self._changed, event.object.revision)
-                self._drop(event.object.name)
-            else:
+            if not event.deleted:
                 self._put(event.object)
+                continue
+            known = self._objects.get(event.object.name)
+            if known is not None and event.object.revision <= known.revision:
+                # The event names the revision of the object, not that of its deletion.
+                self._changed = max(self._changed, changes.revision)
+            self._changed = max(self._changed, event.object.revision)
+            self._drop(event.object.name)
         self._revision = max(changes.revision, self._revision or 0)
 
     def _put(self, stored: StoredObject) -> None:
@@ -93,8 +102,3 @@
     def _drop(self, name: str) -> None:
         if self._objects.pop(name, None) is not None:
             self._adopter.drop(name)
-
-
-def changed_revisions(replicas: Iterable[Replica]) -> tuple[int, ...]:
-    """Return the greatest revision that each copy has seen."""
-    return tuple(replica.changed for replica in replicas)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -78,6 +78,7 @@
         self.metrics = metrics
         self.identity = identity
         self.stopping = False
+        self.answered: dict[ObjectKind, bool] = {}
         self.configuration: Configuration | None = None
         self.targets = TargetRegistry()
         self.evacuated: set[str] = set()
@@ -108,6 +109,11 @@
             and self.replicas[ObjectKind.TARGETS].revision is not None
         )
 
+    @property
+    def watching(self) -> bool:
+        """Whether this VM watches the store and its last calls were answered."""
+        return len(self.answered) == len(self.replicas) and all(self.answered.values())
+
     def service(self, name: str) -> ServiceState:
         """Return what is measured of a service."""
         found = self._services.get(name)
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -5,11 +5,13 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import attrs
 import curio
 
 from carawayquay.backoff import Backoff
 from carawayquay.errors import HistoryLostError, StoreError
 from carawayquay.membership import Address
+from carawayquay.watch_duty import on_duty
 from carawayquay_platform.store import PlatformStore
 from carawayquay_wire.events import Event, EventLog
 
@@ -46,6 +48,18 @@
 _PEER_TIMEOUT = timedelta(milliseconds=500)
 
 
+@attrs.frozen
+class _Newest:
+    """The last change that another VM has seen.
+
+    :param near: whether that VM is in the own failure domain
+    """
+
+    revision: int
+    near: bool
+    address: Address
+
+
 class Watcher:
     """Watches the objects of one kind."""
 
@@ -68,16 +82,14 @@
         self._handled = 0
         self._failed_at: timedelta | None = None
 
-    @property
-    def connected(self) -> bool:
-        """Whether the last call of the store was answered."""
-        return bool(self._connected)
-
     async def run(self) -> None:
-        """Follow the store until cancelled."""
+        """Follow the store, or those who do, until cancelled."""
         while True:
+            if not self._stale and not self._on_duty():
+                await self._follow_peers()
+                continue
             try:
-                await self._follow()
+                await self._follow_store()
                 self._note_connected(None)
             except HistoryLostError:
                 self._stale = True
@@ -86,15 +98,25 @@
                 await self._ask_peer()
                 await curio.sleep(self._backoff.next().total_seconds())
 
-    async def _follow(self) -> None:
+    def _on_duty(self) -> bool:
+        return on_duty(self._state.identity, self._state.peers, self._state.clock.now())
+
+    async def _follow_peers(self) -> None:
+        """Take changes from VMs that watch the store, for a short while."""
+        self._state.answered.pop(self._replica.kind, None)
+        await self._ask_peer()
+        await curio.sleep(_COMPARE_SECONDS)
+
+    async def _follow_store(self) -> None:
         """Make one call of the store.
 
         :raises StoreError: if it is not answered
         """
-        if self._stale or self._replica.revision is None:
+        if self._stale:
             self._apply_listing(await self._store.list(self._replica.kind))
             self._stale = False
             return
+        self._state.answered.setdefault(self._replica.kind, True)
         changes = await self._watch_until_behind()
         if changes is None:
             self._stale = True
@@ -137,52 +159,68 @@
         """Return once another VM has had a later change for a while."""
         while True:
             await curio.sleep(_COMPARE_SECONDS)
-            seen = self._newest_at_peers()[0]
-            if seen > max(self._replica.changed, self._handled):
+            newest = self._newest_at_peers()
+            if newest is not None and self._missed(newest):
                 await curio.sleep(_LAG_SECONDS)
-                if seen > self._replica.changed:
-                    self._handled = seen
+                if self._missed(newest):
+                    self._handled = newest.revision
                     return
 
-    def _newest_at_peers(self) -> tuple[int, Address | None]:
-        """Return the greatest revision of a change that a live VM saw, and where to ask it."""
+    def _missed(self, newest: _Newest) -> bool:
+        """Return whether the watch should have brought a change that another VM has."""
+        return newest.revision > max(self._replica.revision or 0, self._handled)
+
+    def _newest_at_peers(self) -> _Newest | None:
+        """Return the last change that a live VM saw, and where to ask for it, near VMs first."""
         now = self._state.clock.now()
-        newest, address = 0, None
+        best: _Newest | None = None
         for peer in self._state.peers:
             if not peer.live(now) or peer.report is None:
                 continue
-            revisions = peer.report.revisions
-            if self._index < len(revisions) and revisions[self._index] > newest:
-                newest = revisions[self._index]
+            if self._index >= len(peer.report.revisions):
+                continue
+            revision = peer.report.revisions[self._index]
+            near = peer.identity.domain == self._state.identity.domain
+            if best is None or (revision, near) > (best.revision, best.near):
                 address = Address(peer.identity.host, self._state.settings.admin.port)
-        return newest, address
+                best = _Newest(revision, near, address)
+        return best
 
     async def _ask_peer(self) -> None:
         """Take what a live VM knows, if that is more than is known here."""
-        newest, address = self._newest_at_peers()
-        if address is None or newest <= self._replica.changed:
+        newest = self._newest_at_peers()
+        if newest is None or newest.revision <= self._replica.changed:
             return
-        peer = PlatformStore(address, _PEER_TIMEOUT)
+        peer = PlatformStore(newest.address, _PEER_TIMEOUT)
         try:
             listing = await peer.list(self._replica.kind)
         except StoreError as error:
-            _log.warning(Event.PULL_FAILED, kind=self._replica.kind.name, peer=address, error=error)
+            _log.warning(
+                Event.PULL_FAILED,
+                kind=self._replica.kind.name,
+                peer=newest.address,
+                reason=error,
+            )
             return
         finally:
             await peer.close()
-        self._apply_listing(listing)
+        self._apply_listing(listing, from_peer=True)
+        self._stale = self._stale and self._on_duty()
 
-    def _apply_listing(self, listing: ObjectListing) -> None:
-        if self._replica.apply_listing(listing):
+    def _apply_listing(self, listing: ObjectListing, *, from_peer: bool = False) -> None:
+        if self._replica.apply_listing(listing, from_peer=from_peer):
             _log.info(
                 Event.OBJECT_ADOPTED,
                 kind=self._replica.kind.name,
                 revision=listing.revision,
                 objects=len(listing.objects),
+                source="peer" if from_peer else "store",
             )
 
     def _note_connected(self, error: StoreError | None) -> None:
         connected = error is None
+        if not connected or self._on_duty():
+            self._state.answered[self._replica.kind] = connected
         if connected:
             self._backoff.reset()
         else:
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -169,5 +169,92 @@
     run(check)
 
 
+async def _linked(states, host_of):
+    """Let VMs report to each other, and answer lists to each other."""
+    port = 0
+    for state in states:
+        server = HttpServer(AdminApi(state).handle, reject)
+        sock = tcp_server_socket(host_of[state.identity.name], port)
+        port = sock.getsockname()[1]
+        await curio.spawn(run_server, sock, server.serve, daemon=True)
+    for state in states:
+        state.settings = attrs.evolve(state.settings, admin=Address("127.0.0.1", port))
+
+    async def report():
+        sequence = 0
+        while True:
+            sequence += 1
+            for sender in states:
+                revisions = tuple(replica.changed for replica in sender.replicas.values())
+                report = LoadReport(
+                    sender.identity, sequence, sender.stopping, revisions, sender.watching
+                )
+                for state in states:
+                    state.peers.receive(report, _now(state))
+            await curio.sleep(0.05)
+
+    await curio.spawn(report, daemon=True)
+
+
+def _domain():
+    """Return the states of three VMs of one failure domain."""
+    hosts = {f"puget-a-{index}": f"127.0.0.{index}" for index in (1, 2, 3)}
+    states = [
+        GatewayState(settings(), MonotonicClock(), Metrics(), identity(name, host))
+        for name, host in hosts.items()
+    ]
+    return states, hosts
+
+
+async def _started_domain(store):
+    address = await _listen(store.http)
+    states, hosts = _domain()
+    await _linked(states, hosts)
+    for state in states:
+        client = PlatformStore(address, timedelta(milliseconds=300))
+        for kind in KINDS:
+            wait = timedelta(seconds=0.5)
+            watcher = Watcher(state, client, state.replicas[kind], random.Random(1), wait)
+            await curio.spawn(watcher.run, daemon=True)
+    await _until(lambda: all(state.ready for state in states))
+    return states
+
+
+def _watching(states):
+    return [state.identity.name for state in states if state.watching]
+
+
+def test_one_vm_of_a_domain_watches_and_all_learn_of_changes_and_removals():
+    async def check():
+        store = await _filled()
+        states = await _started_domain(store)
+        await _until(lambda: len(_watching(states)) == 1)
+        store.calls.clear()
+        await store.put("servers", "t2", target("127.0.0.1:82"))
+        await _until(lambda: all(state.targets.get("t2") for state in states))
+        await store.remove("servers", "t1")
+        await _until(lambda: not any(state.targets.get("t1") for state in states))
+        assert all("watch=" in call for call in store.calls)
+        assert len(store.calls) < 3 * 8
+
+    run(check)
+
+
+def test_next_vm_takes_over_when_the_store_turns_the_watching_one_away():
+    async def check():
+        store = await _filled()
+        states = await _started_domain(store)
+        await _until(lambda: len(_watching(states)) == 1)
+        first = next(state for state in states if state.watching)
+        first.answered = dict.fromkeys(KINDS, False)
+        first.stopping = True
+        await _until(lambda: any(name != first.identity.name for name in _watching(states)))
+        await store.put("servers", "t2", target("127.0.0.1:82"))
+        others = [state for state in states if state is not first]
+        await _until(lambda: all(state.targets.get("t2") for state in others))
+
+    run(check)
+
+
 def _now(state):
     return state.clock.now()
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -38,6 +38,7 @@
         sender=_member(report.sender),
         sequence=report.sequence,
         leaving=report.leaving,
+        watching=report.watching,
         revisions=list(report.revisions),
         targets=[
             {"target": count.target, "running": min(count.running, _MAX_RUNNING)}
@@ -65,6 +66,7 @@
             sender=_identity(reader.sender),
             sequence=reader.sequence,
             leaving=reader.leaving,
+            watching=reader.watching,
             revisions=tuple(reader.revisions),
             targets=tuple(TargetCount(item.target, item.running) for item in reader.targets),
             rates=tuple(ServiceRate(item.service, item.rate) for item in reader.rates),
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -33,4 +33,5 @@
   crashes @6 :List(CrashReport);
   members @7 :List(Member);
   warmed @8 :Data;
+  watching @9 :Bool;
 }
--- a/packages/wire/tests/test_reports.py
+++ b/packages/wire/tests/test_reports.py
@@ -26,12 +26,14 @@
     warmed=st.lists(st.builds(WarmObject, WORDS, WORDS), max_size=9),
     crashes=st.lists(st.builds(CrashReport, st.integers(0, 2**64 - 1), st.integers(0, 255))),
     leaving=st.booleans(),
+    watching=st.booleans(),
 )
-def test_report_survives_the_wire(targets, warmed, crashes, leaving):
+def test_report_survives_the_wire(targets, warmed, crashes, leaving, watching):
     report = LoadReport(
         sender=SENDER,
         sequence=7,
         leaving=leaving,
+        watching=watching,
         revisions=(530, 0, 12),
         targets=tuple(targets),
         rates=(ServiceRate(1, 2.5),),
