--- /dev/null
+++ b/packages/core/tests/test_placement.py
@@ -0,0 +1,70 @@
+"""Targets are chosen by the delay that they are expected to cause."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from carawayquay.discovery import RegisteredTarget, TargetState
+from carawayquay.membership import Address
+from carawayquay.placement import Candidate, Placed, Refused, WorkTimes, cheapest, preferred
+from carawayquay.target_stats import TargetStats
+
+TIMES = WorkTimes(warm=0.08, cold=0.26)
+
+
+def _candidate(name, *, running=0, warm=True, **changes):
+    target = RegisteredTarget(
+        name=name,
+        service="s",
+        address=Address("10.0.0.1", 80),
+        domain="a",
+        region="west",
+        slots=4,
+        state=TargetState.READY,
+        cold_for=timedelta(),
+        incarnation=1,
+    )
+    return Candidate(target, TargetStats(**changes), running, warm, 0.001)
+
+
+def _choose(*candidates, most_wait=0.12):
+    return cheapest(candidates, TIMES, lambda _: most_wait)
+
+
+def test_warm_target_with_a_short_queue_beats_an_idle_cold_one():
+    chosen = _choose(_candidate("warm", running=7), _candidate("cold", warm=False))
+    assert chosen.target.name == "warm"
+    assert abs(chosen.wait - 4 * 0.08 / 4) < 1e-9
+
+
+def test_cold_target_is_used_when_the_queue_is_longer_than_its_extra_work():
+    full = _candidate("warm", running=20)
+    assert _choose(full, _candidate("cold", warm=False)).target.name == "cold"
+
+
+def test_failing_target_is_avoided_though_its_answers_are_fast():
+    failing = _candidate("failing", failure_rate=0.3)
+    assert _choose(failing, _candidate("busy", running=6)).target.name == "busy"
+
+
+def test_nothing_is_placed_behind_a_queue_that_is_too_long():
+    refused = _choose(_candidate("a", running=30), _candidate("b", running=40))
+    assert isinstance(refused, Refused)
+    assert abs(refused.wait - (27 * 0.08 / 4 - 0.12)) < 1e-9
+    assert _choose() == Refused(None)
+
+
+def test_slow_target_counts_its_queue_as_slow_too():
+    slow = _candidate("slow", running=4, slowness=5.0)
+    chosen = _choose(slow, most_wait=1.0)
+    assert isinstance(chosen, Placed)
+    assert abs(chosen.wait - 0.08 * 5 / 4) < 1e-9
+
+
+def test_loss_of_a_target_moves_only_its_own_objects():
+    names = tuple(f"t{index}" for index in range(12))
+    fewer = names[:-1]
+    for index in range(200):
+        before = preferred(f"k{index}", names)
+        if before != names[-1]:
+            assert preferred(f"k{index}", fewer) == before
--- /dev/null
+++ b/packages/core/tests/test_target_stats.py
@@ -0,0 +1,67 @@
+"""What was learned of a target is forgotten with time, and by its restart."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from carawayquay.target_stats import ServiceTimes, TargetStats
+
+NOW = timedelta(seconds=10)
+
+
+def test_target_is_left_alone_after_failures_in_a_row_and_comes_back():
+    stats = TargetStats()
+    stats.failed(NOW)
+    stats.failed(NOW)
+    assert stats.usable(NOW)
+    stats.failed(NOW)
+    assert not stats.usable(NOW)
+    assert stats.usable(NOW + timedelta(seconds=1))
+
+
+def test_good_answer_between_failures_keeps_a_target_in_use():
+    stats = TargetStats()
+    for _ in range(5):
+        stats.failed(NOW)
+        stats.failed(NOW)
+        stats.succeeded(NOW)
+    assert stats.usable(NOW)
+    assert stats.failure_rate > 0.2
+
+
+def test_slowness_follows_the_answers_and_fades():
+    stats = TargetStats(updated=NOW)
+    for _ in range(20):
+        stats.record_speed(0.8, 0.1)
+    assert stats.slowness > 6
+    stats.decay(NOW + timedelta(seconds=20))
+    assert stats.slowness < 1.5
+
+
+def test_oldest_objects_are_forgotten_first():
+    stats = TargetStats()
+    assert stats.note_warm(0)
+    for key in range(1, 128):
+        stats.note_warm(key)
+    assert not stats.note_warm(0)
+    stats.note_warm(500)
+    assert stats.warm(0)
+    assert not stats.warm(1)
+
+
+def test_restart_makes_a_target_cold_for_all():
+    stats = TargetStats(slowness=9.0, failure_rate=0.5)
+    stats.note_warm(7)
+    stats.restarted()
+    assert not stats.warm(7)
+    assert (stats.slowness, stats.failure_rate) == (1.0, 0.0)
+
+
+def test_times_are_guessed_from_the_target_latency_until_measured():
+    times = ServiceTimes()
+    assert times.cold(0.3) == 0.3
+    assert times.warm(0.3) < 0.1
+    times.record(0.08, warm=True)
+    assert abs(times.cold(9.0) - 0.08 * 3.3) < 1e-9
+    times.record(0.2, warm=False)
+    assert (times.warm(9.0), times.cold(9.0)) == (0.08, 0.2)
