--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -116,7 +116,11 @@
         """Answer a caller's request."""
         self._active += 1
         try:
-            return await self._handle(headers.read_request(request))
+            call = headers.read_request(request)
+            return await self._handle(call)
+        except Exception:
+            _log.error(Event.HANDLER_FAILED, id=call.request_id)
+            return self._refuse(call, ErrorKind.INTERNAL, "fault of this process", None)
         finally:
             self._active -= 1
 
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -175,3 +175,9 @@
     answer, state = run(unreachable)
     assert answer.status == 503
     assert state.targets.cold("t0", state.clock.now())
+
+
+def test_fault_of_this_process_is_answered_and_not_called_unrun():
+    forwarder, state = new_forwarder([])
+    state.configuration.find = None
+    assert run(forwarder.handle, request()).status == 500
