--- /dev/null
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -0,0 +1,174 @@
+"""The slopes of the gateway behind docs/CAPACITY.md, measured on its real decisions and codec."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, Any
+
+from carawayquay.discovery import RegisteredTarget, TargetRegistry, TargetState
+from carawayquay.entry_peers import EntryPeers
+from carawayquay.load_reports import LoadReport, TargetCount, VMIdentity, WarmObject
+from carawayquay.membership import Address
+from carawayquay.placement import Candidate, WorkTimes, cheapest, preferred
+from carawayquay.target_stats import TargetStats
+from carawayquay_benchmarks.regression import Slope, bytes_slope, cpu_slope, memory_slope
+from carawayquay_platform.configuration import parse_configuration
+from carawayquay_wire.reports import decode_report, encode_report
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["main"]
+
+_ROUTES = (10, 100, 400, 1600)
+_TARGETS = (12, 50, 150, 600)
+_VMS = (20, 143, 500, 2000)
+_REPEATS = 100
+_NOW = timedelta(seconds=10)
+_OWN = VMIdentity("edge-0", "10.0.0.1", "puget-a", "puget", 1)
+
+
+def configuration_slopes() -> list[Slope]:
+    """Measure a configuration by its number of routes."""
+    return [
+        cpu_slope("reading a configuration, by routes", _ROUTES, _read_work),
+        memory_slope("configuration in force, by routes", _ROUTES, _configuration),
+    ]
+
+
+def report_slopes() -> list[Slope]:
+    """Measure load reports by the targets that they count, and by the VMs that send them."""
+    return [
+        bytes_slope("load report, by targets", _TARGETS, lambda n: len(encode_report(_report(n)))),
+        cpu_slope("100 load reports written, by targets", _TARGETS, _encode_work),
+        cpu_slope("100 load reports read, by targets", _TARGETS, _decode_work),
+        memory_slope("VMs that report, by VMs", _VMS, _peers),
+    ]
+
+
+def placing_slopes() -> list[Slope]:
+    """Measure the choice among targets by their number."""
+    return [
+        cpu_slope("100 choices of a target, by targets", _TARGETS, _choice_work),
+        memory_slope("targets with 100 warm objects each, by targets", _TARGETS, _stats),
+    ]
+
+
+def main() -> None:
+    """Print every slope."""
+    for slope in (*configuration_slopes(), *report_slopes(), *placing_slopes()):
+        print(slope)
+
+
+def _configuration_value(routes: int) -> dict[str, Any]:
+    paths = [
+        {
+            "name": f"r-{index}",
+            "path_prefix": f"/part{index}/",
+            "kind": "idempotent",
+            "timeout": "1200ms",
+            "target_latency": "200ms",
+            "priority": 2,
+            "service": "granite",
+            "max_attempts": 2,
+            "sticky": True,
+            "allowed_regions": [],
+        }
+        for index in range(routes)
+    ]
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout": "3s",
+        "idle_timeout": "15s",
+    }
+    hosts = [{"host": "stones.example", "paths": paths}]
+    return {"version": "r1", "services": [], "limits": limits, "virtual_hosts": hosts}
+
+
+def _read_work(routes: int) -> Callable[[], Any]:
+    value = _configuration_value(routes)
+    return lambda: parse_configuration(value)
+
+
+def _configuration(routes: int) -> Any:
+    return parse_configuration(_configuration_value(routes))
+
+
+def _report(targets: int, vm: VMIdentity = _OWN) -> LoadReport:
+    return LoadReport(
+        sender=vm,
+        sequence=1,
+        leaving=False,
+        revisions=(1, 2, 3),
+        targets=tuple(TargetCount(index * 7919, index % 9) for index in range(targets)),
+        warmed=tuple(WarmObject(index, index) for index in range(20)),
+    )
+
+
+def _encode_work(targets: int) -> Callable[[], Any]:
+    report = _report(targets)
+    return lambda: [encode_report(report) for _ in range(_REPEATS)]
+
+
+def _decode_work(targets: int) -> Callable[[], Any]:
+    data = encode_report(_report(targets))
+    return lambda: [decode_report(data) for _ in range(_REPEATS)]
+
+
+def _peers(vms: int) -> EntryPeers:
+    peers = EntryPeers(_OWN)
+    for index in range(vms):
+        vm = VMIdentity(f"edge-{index}", f"10.0.{index >> 8}.{index & 255}", "puget-a", "puget", 1)
+        peers.receive(_report(12, vm), _NOW)
+    return peers
+
+
+def _registered(targets: int) -> list[RegisteredTarget]:
+    registry = TargetRegistry()
+    for index in range(targets):
+        target = RegisteredTarget(
+            name=f"i-{index:08x}",
+            service="granite",
+            address=Address("10.0.0.1", 1000 + index),
+            domain="puget-a",
+            region="puget",
+            slots=9,
+            state=TargetState.READY,
+            cold_for=timedelta(),
+            incarnation=1,
+        )
+        registry.register(target, _NOW)
+    return list(registry.ready("granite"))
+
+
+def _choice_work(targets: int) -> Callable[[], Any]:
+    registered = _registered(targets)
+    stats = {target.name: TargetStats() for target in registered}
+    names = tuple(stats)
+    times = WorkTimes(0.08, 0.26)
+
+    def choose() -> None:
+        for index in range(_REPEATS):
+            home = preferred(f"k{index}", names)
+            candidates = [
+                Candidate(target, stats[target.name], 3, target.name == home, 0.001)
+                for target in registered
+            ]
+            cheapest(candidates, times, lambda _: 0.1)
+
+    return choose
+
+
+def _stats(targets: int) -> list[TargetStats]:
+    found = []
+    for _ in range(targets):
+        stats = TargetStats()
+        for key in range(100):
+            stats.note_warm(key * 104729)
+        found.append(stats)
+    return found
+
+
+if __name__ == "__main__":
+    main()
