--- a/packages/core/src/carawayquay/target_stats.py
+++ b/packages/core/src/carawayquay/target_stats.py
@@ -19,6 +19,9 @@
 _COLD_FACTOR = 3.3
 
 _WARM_KEYS = 128
+
+#: How long what a target said of its load is better known than the counts of other VMs.
+_LOAD_LIFE = timedelta(milliseconds=250)
 _MAX_SLOWNESS = 30.0
 _MIN_SLOWNESS = 0.3
 
@@ -82,6 +85,8 @@
     failures_in_row: int = 0
     ejected_until: timedelta = timedelta()
     updated: timedelta = timedelta()
+    _others: int = 0
+    _others_until: timedelta = timedelta()
     _warm_keys: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
 
     def warm(self, key: int) -> bool:
@@ -97,6 +102,15 @@
             self._warm_keys.popitem(last=False)
         return news
 
+    def report_load(self, requests: int, now: timedelta) -> None:
+        """Take how many requests the target says that it has, from all VMs."""
+        self._others = max(0, requests - self.running)
+        self._others_until = now + _LOAD_LIFE
+
+    def others(self, now: timedelta) -> int | None:
+        """Return the requests of other VMs that the target had just now, None if unknown."""
+        return self._others if now < self._others_until else None
+
     def usable(self, now: timedelta) -> bool:
         """Return whether the target is not left alone for its failures."""
         return now >= self.ejected_until
@@ -125,10 +139,14 @@
         ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, seconds / max(expected, 0.001)))
         self.slowness = _mixed(self.slowness, ratio, _WEIGHT)
 
-    def failed(self, now: timedelta) -> None:
-        """Take a failure, and leave the target alone after several in a row."""
+    def shed(self, now: timedelta) -> None:
+        """Take a failure that the target answered itself, so that it lives and works."""
         self.decay(now)
         self.failure_rate = _mixed(self.failure_rate, 1.0, _WEIGHT)
+
+    def failed(self, now: timedelta) -> None:
+        """Take that no answer came, and leave the target alone after several in a row."""
+        self.shed(now)
         self.failures_in_row += 1
         if self.failures_in_row >= _EJECT_AFTER:
             self.ejected_until = now + _EJECT_FOR
--- a/packages/core/tests/test_target_stats.py
+++ b/packages/core/tests/test_target_stats.py
@@ -65,3 +65,19 @@
     assert abs(times.cold(9.0) - 0.08 * 3.3) < 1e-9
     times.record(0.2, warm=False)
     assert (times.warm(9.0), times.cold(9.0)) == (0.08, 0.2)
+
+
+def test_target_that_sheds_is_not_left_alone():
+    stats = TargetStats()
+    for _ in range(20):
+        stats.shed(NOW)
+    assert stats.usable(NOW)
+    assert stats.failure_rate > 0.9
+
+
+def test_load_that_the_target_told_counts_for_a_short_while():
+    stats = TargetStats(running=2)
+    assert stats.others(NOW) is None
+    stats.report_load(9, NOW)
+    assert stats.others(NOW + timedelta(milliseconds=200)) == 7
+    assert stats.others(NOW + timedelta(milliseconds=300)) is None
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -247,9 +247,11 @@
         stats = self._state.stats(target.name)
         if answer.idle_life is not None:
             self._idle_lives[target.name] = answer.idle_life * _IDLE_PART
+        if answer.load is not None:
+            stats.report_load(answer.load.running + answer.load.waiting, now)
         if answer.not_run or answer.other_target:
             exchange.may_have_run = ran_before
-            stats.failed(now)
+            stats.shed(now)
             if answer.other_target:
                 stats.ejected_until = now + _MISPLACED_FOR
                 await self._http.drop_idle(target.address)
@@ -257,7 +259,7 @@
             return None
         self._crashes.complete(exchange.fingerprint)
         if answer.status >= _SERVER_ERROR:
-            stats.failed(now)
+            stats.shed(now)
             exchange.last_answer = answer
             if exchange.route.idempotent and exchange.left(now) > placed.work:
                 self._log_attempt(exchange, placed, f"status-{answer.status}")
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -135,7 +135,11 @@
 
     def running(self, target: str) -> int:
         """Return the requests in flight at a target from all VMs, as far as known."""
-        return self.stats(target).running + self.peers.running(short_hash(target))
+        stats = self.stats(target)
+        others = stats.others(self.clock.now())
+        if others is None:
+            others = self.peers.running(short_hash(target))
+        return stats.running + others
 
     def running_here(self) -> list[tuple[str, int]]:
         """Return the targets at which this VM has requests in flight, and how many."""
