Give each object a home in its callers' region, and consider few targets for it

Ruled out: regions without room (all targets were equally full), sheds (outside 13 to 21 s).

Change: home by region, two targets and the warm ones considered, share of a region by capacity also before the first request.

--- a/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -9,7 +9,7 @@
 from carawayquay.entry_peers import EntryPeers
 from carawayquay.load_reports import LoadReport, TargetCount, VMIdentity, WarmObject
 from carawayquay.membership import Address
-from carawayquay.placement import Candidate, WorkTimes, cheapest, preferred
+from carawayquay.placement import Candidate, WorkTimes, cheapest, ranked_first
 from carawayquay.target_stats import TargetStats
 from carawayquay_benchmarks.regression import Slope, bytes_slope, cpu_slope, memory_slope
 from carawayquay_platform.configuration import parse_configuration
@@ -150,7 +150,7 @@
 
     def choose() -> None:
         for index in range(_REPEATS):
-            home = preferred(f"k{index}", names)
+            home = ranked_first(f"k{index}", names, 1)[0]
             candidates = [
                 Candidate(target, stats[target.name], 3, target.name == home, 0.001)
                 for target in registered
--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -81,11 +81,11 @@
         """Return the requests that the other VMs have in flight at a target."""
         return self._running.get(target, 0)
 
-    def rate(self, service: int, domain: str | None, now: timedelta) -> float:
-        """Return the requests/s for a service that the other VMs of a domain, or all, take."""
+    def rate(self, service: int, region: str | None, now: timedelta) -> float:
+        """Return the requests/s for a service that the other VMs of a region, or all, take."""
         total = 0.0
         for peer in self._peers.values():
-            if domain is not None and peer.identity.domain != domain:
+            if region is not None and peer.identity.region != region:
                 continue
             if peer.report is not None and peer.live(now):
                 total += sum(rate.rate for rate in peer.report.rates if rate.service == service)
--- a/packages/core/src/carawayquay/kept_share.py
+++ b/packages/core/src/carawayquay/kept_share.py
@@ -1,4 +1,4 @@
-"""The share of a domain's requests that its own targets should serve, changed slowly."""
+"""The share of a region's requests that its own targets should serve, changed slowly."""
 
 from __future__ import annotations
 
@@ -9,40 +9,45 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-__all__ = ["DomainLoad", "KeptShare", "wanted_share"]
+__all__ = ["KeptShare", "RegionLoad", "wanted_share"]
 
-#: Utilization up to which a domain keeps its own requests however idle the others are.
+#: Utilization up to which a region keeps its own requests however idle the others are.
 _KEPT_UTILIZATION = 0.7
 
-#: Utilization over the mean of all domains at which requests leave their domain.
+#: Utilization over the mean of all regions at which requests leave their region.
 _MARGIN = 1.1
 
+#: Utilization that is assumed before any request was seen, the same demand in every region.
+_ASSUMED_UTILIZATION = 0.55
+
 #: Change of the share in a second while only traffic changes.
 _SLEW_PER_SECOND = 0.04
 
 
 @attrs.frozen
-class DomainLoad:
+class RegionLoad:
     """Demand and capacity of one service.
 
-    :param demand: slots that the domain's callers keep busy
+    :param demand: slots that the region's callers keep busy
     :param capacity: slots of its usable targets
-    :param all_demand: slots that the callers of all domains keep busy
-    :param all_capacity: slots of the usable targets of all domains
+    :param all_demand: slots that the callers of all regions keep busy
+    :param all_capacity: slots of the usable targets of all regions
+    :param regions: the number of regions
     """
 
     demand: float
     capacity: float
     all_demand: float
     all_capacity: float
+    regions: int = 1
 
 
-def wanted_share(load: DomainLoad) -> float:
-    """Return the share of a domain's requests that its own targets should serve.
+def wanted_share(load: RegionLoad) -> float:
+    """Return the share of a region's requests that its own targets should serve.
 
-    >>> wanted_share(DomainLoad(demand=10, capacity=10, all_demand=40, all_capacity=100))
+    >>> wanted_share(RegionLoad(demand=10, capacity=10, all_demand=40, all_capacity=100))
     0.7
-    >>> wanted_share(DomainLoad(demand=5, capacity=10, all_demand=40, all_capacity=100))
+    >>> wanted_share(RegionLoad(demand=5, capacity=10, all_demand=40, all_capacity=100))
     1.0
     """
     if load.capacity <= 0 or load.all_capacity <= 0:
@@ -65,8 +70,16 @@
         """The share, 0 to 1."""
         return 1.0 if self._share is None else self._share
 
-    def update(self, load: DomainLoad, now: timedelta) -> None:
-        """Move the share toward what the load asks for."""
+    def update(self, load: RegionLoad, now: timedelta) -> None:
+        """Move the share toward what the load asks for.
+
+        While nothing is asked for the share stays; the first one is for an assumed demand.
+        """
+        if load.all_demand <= 0:
+            if self._share is None and load.all_capacity > 0:
+                self._share = wanted_share(_assumed(load))
+            self._updated = now
+            return
         wanted = wanted_share(load)
         if self._share is None or self._updated is None or wanted == 0.0:
             self._share = wanted
@@ -74,3 +87,9 @@
             step = _SLEW_PER_SECOND * (now - self._updated).total_seconds()
             self._share += max(-step, min(step, wanted - self._share))
         self._updated = now
+
+
+def _assumed(load: RegionLoad) -> RegionLoad:
+    """Return a load in which all regions ask for the same."""
+    demand = _ASSUMED_UTILIZATION * load.all_capacity
+    return attrs.evolve(load, demand=demand / max(1, load.regions), all_demand=demand)
--- a/packages/core/src/carawayquay/placement.py
+++ b/packages/core/src/carawayquay/placement.py
@@ -15,7 +15,15 @@
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.target_stats import TargetStats
 
-__all__ = ["Candidate", "Placed", "Refused", "WorkTimes", "cheapest", "key_position", "preferred"]
+__all__ = [
+    "Candidate",
+    "Placed",
+    "Refused",
+    "WorkTimes",
+    "cheapest",
+    "key_position",
+    "ranked_first",
+]
 
 #: Seconds that a failure costs its caller, beside a failure rate of one.
 _FAILURE_SECONDS = 2.0
@@ -30,9 +38,9 @@
 
 
 @lru_cache(maxsize=8192)
-def preferred(key: str, names: tuple[str, ...]) -> str:
-    """Return the target that an object prefers, the same in every process."""
-    return ranked(key, names)[0]
+def ranked_first(key: str, names: tuple[str, ...], count: int) -> tuple[str, ...]:
+    """Return the targets that an object prefers, the same in every process."""
+    return ranked(key, names)[:count]
 
 
 @attrs.frozen
--- a/packages/core/src/carawayquay/routes.py
+++ b/packages/core/src/carawayquay/routes.py
@@ -120,9 +120,9 @@
         return self._services.get(name)
 
     @property
-    def services(self) -> tuple[ServiceSpec, ...]:
-        """The services that the configuration names."""
-        return tuple(self._services.values())
+    def service_names(self) -> tuple[str, ...]:
+        """The names of the services."""
+        return tuple(self._services)
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, or None if there is none.
--- a/packages/core/src/carawayquay/target_stats.py
+++ b/packages/core/src/carawayquay/target_stats.py
@@ -11,6 +11,7 @@
 
 _WEIGHT = 0.2
 _TIME_WEIGHT = 0.05
+_LONGER_WEIGHT = 0.01
 
 #: Time in which half of what was learned of a target's speed and failures is forgotten.
 _HALF_LIFE = timedelta(seconds=4)
@@ -61,7 +62,9 @@
     def record(self, seconds: float, *, warm: bool) -> None:
         """Take the service time of one request that did not queue."""
         if warm:
-            self._warm = _mixed(self._warm, seconds, _TIME_WEIGHT)
+            # The target may have forgotten the object since, which must not count as warm.
+            longer = self._warm is not None and seconds > self._warm
+            self._warm = _mixed(self._warm, seconds, _LONGER_WEIGHT if longer else _TIME_WEIGHT)
         else:
             self._cold = _mixed(self._cold, seconds, _TIME_WEIGHT)
 
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -15,7 +15,7 @@
     WorkTimes,
     cheapest,
     key_position,
-    preferred,
+    ranked_first,
 )
 from carawayquay.refusals import longest_wait
 
@@ -39,6 +39,9 @@
 #: Bodies of at least this size are worth a target of the own domain that is warm for them.
 _WORTHWHILE_BYTES = 1500
 
+#: Targets in an object's order that are considered though they are not warm for it.
+_CONSIDERED = 2
+
 #: Part of the slots of a near target up to which it is made warm for further objects.
 _INVESTED_UTILIZATION = 0.6
 
@@ -50,9 +53,12 @@
 class Selection:
     """Places requests of callers at this VM.
 
-    Every object has a home among all targets, which every VM computes alike, so that at first
-    one target becomes warm for it. As room allows, each domain makes a target of its own warm for
-    the objects that its callers ask for, and then stays there.
+    An object is asked for in few regions, mostly one. Its home is a target of the caller's region,
+    the same at every VM of the region, or one of another region where the region's targets have
+    not enough room for all. As room allows, each domain makes a target of its own warm for the
+    objects that its callers ask for, and then stays there. Only the home, the next target in the
+    object's order and targets that are warm already are considered, since a target can be warm
+    for a bounded number of objects.
     """
 
     def __init__(self, state: GatewayState, round_trips: RoundTrips, random: Random) -> None:
@@ -87,61 +93,65 @@
         usable = self._usable(route, service, tried)
         if not usable:
             return Refused(None)
-        home = self._home(route, service, key, usable)
+        region = self._state.settings.region
+        own = [target for target in usable if target.region == region]
+        others = [target for target in usable if target.region != region]
         request = _Request(route, service, key, elapsed, left)
-        chosen = self._cheapest(
-            request, [target for target in usable if target.region == home.region], home
-        )
-        if isinstance(chosen, Placed):
+        first, second = (own, others) if self._stays(request, own) else (others, own)
+        if not first:
+            return self._place(request, second)
+        chosen = self._place(request, first)
+        if isinstance(chosen, Placed) or not second:
             return chosen
-        others = [target for target in usable if target.region != home.region]
-        if not others:
-            return chosen
-        elsewhere = self._cheapest(request, others, home)
+        elsewhere = self._place(request, second)
         if isinstance(elsewhere, Refused) or not self._spilled.take(self._state.clock.now()):
             return chosen
         return elsewhere
 
-    def _home(
-        self, route: Route, service: str, key: str, usable: list[RegisteredTarget]
-    ) -> RegisteredTarget:
-        """Return the target that should serve an object of this domain's callers.
+    def _stays(self, request: _Request, own: list[RegisteredTarget]) -> bool:
+        """Return whether an object's home is in the own region."""
+        share = self._state.service(request.service).kept.share
+        if not request.keyed:
+            return self._random.random() < share
+        if key_position(request.service, request.key) >= share:
+            return False
+        return bool(own)
+
+    def _place(self, request: _Request, targets: list[RegisteredTarget]) -> Placed | Refused:
+        """Choose among the targets of the region, or the regions, that are to serve a request."""
+        if not request.keyed:
+            return self._cheapest(request, targets, frozenset())
+        by_name = {target.name: target for target in targets}
+        order = ranked_first(request.key, tuple(by_name), _CONSIDERED)
+        code = short_hash(request.key)
+        warm = {name for name in by_name if self._state.stats(name).warm(code)}
+        home = self._home(request, by_name, order[0], warm)
+        names = {home, *order, *warm}
+        considered = [by_name[name] for name in by_name if name in names]
+        return self._cheapest(request, considered, warm or frozenset({home}), home)
 
-        That is the one of the own domain, or the one that all domains have in common, if it is
-        warm for the object; else any that is warm, unless this request is to warm a better one.
+    def _home(
+        self,
+        request: _Request,
+        by_name: dict[str, RegisteredTarget],
+        common: str,
+        warm: Collection[str],
+    ) -> str:
+        """Return the target that should serve an object.
+
+        :param common: the one that all VMs prefer for it
+        :param warm: those that are warm for it
         """
-        by_name = {target.name: target for target in usable}
-        key = key or f"{self._random.random():f}"
-        common = by_name[preferred(key, tuple(by_name))]
-        local = self._local(service, key, by_name)
-        warm = self._warm(key, usable)
-        wanted = common if local is None else local
-        if not warm:
-            return common
-        if wanted in warm:
-            return wanted
-        if route.idempotent and self._worth_warming(service, wanted):
-            return wanted
-        if common in warm:
-            return common
-        return by_name[preferred(key, tuple(target.name for target in warm))]
-
-    def _local(
-        self, service: str, key: str, by_name: dict[str, RegisteredTarget]
-    ) -> RegisteredTarget | None:
-        """Return the target of the own domain that an object prefers, if it should stay there."""
         domain = self._state.settings.domain
         near = tuple(name for name, target in by_name.items() if target.domain == domain)
-        if not near or key_position(service, key) >= self._state.service(service).kept.share:
-            return None
-        return by_name[preferred(key, near)]
-
-    def _warm(self, key: str, usable: list[RegisteredTarget]) -> list[RegisteredTarget]:
-        """Return the targets that are warm for an object, the near ones only if there are any."""
-        code = short_hash(key)
-        warm = [target for target in usable if self._state.stats(target.name).warm(code)]
-        region = self._state.settings.region
-        return [target for target in warm if target.region == region] or warm
+        local = ranked_first(request.key, near, 1)[0] if near else common
+        if not warm:
+            return common
+        if local in warm:
+            return local
+        if request.route.idempotent and self._worth_warming(request.service, by_name[local]):
+            return local
+        return common
 
     def _worth_warming(self, service: str, target: RegisteredTarget) -> bool:
         """Return whether a target should become warm for an object for which others are."""
@@ -153,11 +163,19 @@
         return self._invested.take(state.clock.now())
 
     def _cheapest(
-        self, request: _Request, targets: list[RegisteredTarget], home: RegisteredTarget
+        self,
+        request: _Request,
+        targets: list[RegisteredTarget],
+        warm: Collection[str],
+        home: str = "",
     ) -> Placed | Refused:
+        """Choose the target with the least expected delay.
+
+        :param warm: names of the targets that are warm for the object
+        :param home: the target that is to serve the object even though it is not warm for it
+        """
         state = self._state
         now = state.clock.now()
-        key = short_hash(request.key)
         candidates = []
         for target in targets:
             stats = state.stats(target.name)
@@ -167,7 +185,7 @@
                     target,
                     stats,
                     state.running(target.name),
-                    target is home or stats.warm(key),
+                    target.name in warm or target.name == home,
                     self._round_trips.seconds(target.domain),
                     self._distance_cost(target),
                 )
@@ -209,3 +227,8 @@
     key: str
     elapsed: float
     left: float
+
+    @property
+    def keyed(self) -> bool:
+        """Whether it matters which target has handled the object."""
+        return bool(self.key) and self.route.sticky
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -10,7 +10,7 @@
 from carawayquay.discovery import TargetRegistry
 from carawayquay.entry_peers import EntryPeers
 from carawayquay.errors import ObjectError
-from carawayquay.kept_share import DomainLoad, KeptShare
+from carawayquay.kept_share import KeptShare, RegionLoad
 from carawayquay.load_reports import VMIdentity, short_hash
 from carawayquay.retry_budget import RetryBudget
 from carawayquay.target_stats import ServiceTimes, TargetStats
@@ -158,24 +158,28 @@
         return self.cold_rates.room(target.name, self._cold_share(target, now), now)
 
     def update_shares(self, now: timedelta) -> None:
-        """Move the shares of requests that stay in their domain."""
+        """Move the shares of requests that stay in their region."""
         self.peers.expire(now)
-        for name, service in self._services.items():
-            service.kept.update(self._domain_load(name, service, now), now)
+        if self.configuration is None:
+            return
+        for name in self.configuration.service_names:
+            service = self.service(name)
+            service.kept.update(self._region_load(name, service, now), now)
 
-    def _domain_load(self, name: str, service: ServiceState, now: timedelta) -> DomainLoad:
+    def _region_load(self, name: str, service: ServiceState, now: timedelta) -> RegionLoad:
         usable = [
             target for target in self.targets.ready(name) if target.domain not in self.evacuated
         ]
-        domain = self.settings.domain
+        region = self.settings.region
         code = short_hash(name)
         own_rate = service.rate(now)
         work = service.times.warm(_ASSUMED_LATENCY)
-        return DomainLoad(
-            demand=work * (own_rate + self.peers.rate(code, domain, now)),
-            capacity=sum(target.slots for target in usable if target.domain == domain),
+        return RegionLoad(
+            demand=work * (own_rate + self.peers.rate(code, region, now)),
+            capacity=sum(target.slots for target in usable if target.region == region),
             all_demand=work * (own_rate + self.peers.rate(code, None, now)),
             all_capacity=sum(target.slots for target in usable),
+            regions=len(set(self.settings.regions.values())),
         )
 
     def learn_warm(self, news: Iterable[WarmObject]) -> None:
