--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -169,7 +169,7 @@
         await self._peers.announce()
         grace = self._settings.stop_grace.total_seconds() - _EXIT_SECONDS
         async with curio.ignore_after(grace):
-            await self._entry.remove()
+            await curio.spawn(self._entry.remove, daemon=True)
             await curio.sleep(_LEAVE_SECONDS)
             await self._caller_listener.close()
             await self._caller_server.drain()
--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import errno
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -39,6 +38,7 @@
         self._address = address
         self._serve = serve
         self._sock: Any = None
+        self._accepting: Any = None
 
     async def run(self) -> None:
         """Accept connections until :meth:`close` or cancelled.
@@ -50,7 +50,24 @@
             self._sock = tcp_server_socket(host, port, backlog=_BACKLOG)
         except OSError as error:
             raise ListenError(f"cannot listen at {self._address}: {error.strerror}") from error
-        while self._sock is not None:
+        self._accepting = await curio.spawn(self._accept)
+        async with self._sock:
+            try:
+                await self._accepting.wait()
+            finally:
+                await self._accepting.cancel()
+
+    async def close(self) -> None:
+        """Accept no more connections; those that are open go on.
+
+        The task that accepts is ended before its socket is closed: a descriptor that is closed
+        under a waiting task stays registered with the event loop, which fails when it is used again.
+        """
+        if self._accepting is not None:
+            await self._accepting.cancel()
+
+    async def _accept(self) -> None:
+        while True:
             try:
                 sock, peer = await self._sock.accept()
             except OSError as error:
@@ -58,16 +75,8 @@
                 continue
             await curio.spawn(self._serve_one, sock, peer, daemon=True)
 
-    async def close(self) -> None:
-        """Accept no more connections; those that are open go on."""
-        sock, self._sock = self._sock, None
-        if sock is not None:
-            with suppress(OSError):
-                await sock.shutdown(2)
-            await sock.close()
-
     async def _note(self, error: OSError) -> None:
-        if self._sock is None or error.errno in _ENDED_BY_CALLER:
+        if error.errno in _ENDED_BY_CALLER:
             return
         _log.error(Event.ACCEPT_FAILED, address=self._address)
         await curio.sleep(_ACCEPT_RETRY_SECONDS)
--- /dev/null
+++ b/packages/wire/tests/test_listener.py
@@ -0,0 +1,47 @@
+"""A listener can be closed while it waits for connections."""
+
+from __future__ import annotations
+
+import socket
+
+import curio
+import curio.io
+
+from carawayquay.membership import Address
+from carawayquay_wire.listener import Listener
+
+
+async def _serve(sock, _):
+    await sock.recv(1)
+
+
+async def _closed_listener():
+    """Return the task of a listener that was closed while it waited."""
+    listener = Listener(Address("127.0.0.1", 0), _serve)
+    running = await curio.spawn(listener.run)
+    await curio.sleep(0.01)
+    await listener.close()
+    return running
+
+
+def test_run_returns_after_close():
+    async def go():
+        running = await _closed_listener()
+        await curio.timeout_after(1.0, running.join)
+
+    curio.run(go)
+
+
+def test_descriptor_of_a_closed_listener_can_be_used_again():
+    async def go():
+        await _closed_listener()
+        kept = []
+        for _ in range(20):
+            ours, theirs = (curio.io.Socket(sock) for sock in socket.socketpair())
+            kept += [ours, theirs]
+            waiting = await curio.spawn(ours.recv, 1)
+            await curio.sleep(0)
+            await theirs.send(b"x")
+            assert await waiting.join() == b"x"
+
+    curio.run(go)
