--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -61,7 +61,7 @@
         """Accept no more connections; those that are open go on.
 
         The task that accepts is ended before its socket is closed: a descriptor that is closed
-        under a waiting task stays registered with the event loop, which fails when it is used again.
+        under a waiting task stays registered with the event loop, which fails at its next use.
         """
         if self._accepting is not None:
             await self._accepting.cancel()
