Let what keeps a region's targets busy lower its share; always use a free slot

Waits were estimated by warm work only. An estimate over the time that is left refused every request for good. The log of a failed send now says whether the target was thought warm.

--- a/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -146,7 +146,7 @@
     registered = _registered(targets)
     stats = {target.name: TargetStats() for target in registered}
     names = tuple(stats)
-    times = WorkTimes(0.08, 0.26)
+    times = WorkTimes(0.08, 0.26, 0.1)
 
     def choose() -> None:
         for index in range(_REPEATS):
--- a/packages/core/src/carawayquay/placement.py
+++ b/packages/core/src/carawayquay/placement.py
@@ -45,10 +45,14 @@
 
 @attrs.frozen
 class WorkTimes:
-    """Seconds that a request takes at a target that is warm or cold for its object."""
+    """Seconds that a request takes at a target that is warm or cold for its object.
+
+    :param mean: seconds that those take which are in a target's queue
+    """
 
     warm: float
     cold: float
+    mean: float
 
 
 @attrs.frozen
@@ -102,6 +106,9 @@
 ) -> Placed | Refused:
     """Choose the target with the least expected delay among those whose queue is acceptable.
 
+    A target with a free slot is acceptable in any case: work that is expected to take too long is
+    only an estimate, which would never be corrected if nothing were sent.
+
     :param most_wait: from seconds of work and of the way, the longest acceptable wait
     """
     best: Placed | None = None
@@ -109,7 +116,7 @@
     for candidate in candidates:
         placed = _estimate(candidate, times)
         over = placed.wait - most_wait(placed.work + placed.round_trip)
-        if over > 0:
+        if over > 0 and placed.wait > 0:
             least_over = over if least_over is None else min(least_over, over)
         elif best is None or placed.cost < best.cost:
             best = placed
@@ -120,7 +127,7 @@
     target, stats = candidate.target, candidate.stats
     work = (times.warm if candidate.warm else times.cold) * stats.slowness
     queued = max(0, candidate.running + 1 - target.slots)
-    wait = queued * times.warm * stats.slowness / target.slots
+    wait = queued * times.mean * stats.slowness / target.slots
     failures = stats.failure_rate * _FAILURE_SECONDS
     cost = wait + work + candidate.round_trip + candidate.distance_cost + failures
     return Placed(target, wait, work, candidate.warm, candidate.round_trip, cost)
--- a/packages/core/src/carawayquay/target_stats.py
+++ b/packages/core/src/carawayquay/target_stats.py
@@ -37,6 +37,7 @@
     def __init__(self) -> None:
         self._warm: float | None = None
         self._cold: float | None = None
+        self._mean: float | None = None
         self._bytes = 0.0
 
     @property
@@ -59,6 +60,14 @@
             return max(self._cold, self._warm or 0.0)
         return target_latency if self._warm is None else self._warm * _COLD_FACTOR
 
+    def mean(self, target_latency: float) -> float:
+        """Return the seconds for objects as they come, warm or not."""
+        return self.warm(target_latency) if self._mean is None else self._mean
+
+    def record_any(self, seconds: float) -> None:
+        """Take the service time of any request."""
+        self._mean = _mixed(self._mean, seconds, _TIME_WEIGHT)
+
     def record(self, seconds: float, *, warm: bool) -> None:
         """Take the service time of one request that did not queue."""
         if warm:
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -9,7 +9,7 @@
 from carawayquay.placement import Candidate, Placed, Refused, WorkTimes, cheapest, ranked_first
 from carawayquay.target_stats import TargetStats
 
-TIMES = WorkTimes(warm=0.08, cold=0.26)
+TIMES = WorkTimes(warm=0.08, cold=0.26, mean=0.08)
 
 
 def _candidate(name, *, running=0, warm=True, **changes):
@@ -68,3 +68,7 @@
         before = ranked_first(f"k{index}", names, 1)
         if before != names[-1:]:
             assert ranked_first(f"k{index}", fewer, 1) == before
+
+
+def test_free_slot_is_used_though_the_work_is_expected_to_take_too_long():
+    assert _choose(_candidate("slow", slowness=20.0), most_wait=-1.0).target.name == "slow"
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -281,9 +281,10 @@
         if stats.note_warm(key):
             self._warm.add(short_hash(placed.target.name), key, now)
         service.times.record_bytes(len(exchange.call.body) + len(answer.body))
+        work = max(0.0, seconds - placed.round_trip - placed.wait)
+        service.times.record_any(work)
         if placed.wait > 0:
             return
-        work = max(0.0, seconds - placed.round_trip)
         aim = exchange.route.target_latency.total_seconds()
         expected = service.times.warm(aim) if known_warm else service.times.cold(aim)
         if not known_warm and work < _WARM_BY_TIME * expected:
@@ -382,6 +383,8 @@
             outcome=outcome,
             ms=int(exchange.elapsed(self._state.clock.now()) * 1000),
             wait_ms=int(placed.wait * 1000),
+            work_ms=int(placed.work * 1000),
+            warm=placed.warm,
             running=self._state.running(placed.target.name),
         )
 
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -195,7 +195,7 @@
         times = state.service(request.service).times
         return cheapest(
             candidates,
-            WorkTimes(times.warm(aim), times.cold(aim)),
+            WorkTimes(times.warm(aim), times.cold(aim), times.mean(aim)),
             lambda work: longest_wait(route, request.elapsed, request.left, work),
         )
 
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -36,6 +36,12 @@
 #: Span over which the rate of a service's requests is measured.
 _RATE_WINDOW = timedelta(seconds=3)
 
+#: Weight of the present among the requests at a region's targets, as it is looked at.
+_BUSY_WEIGHT = 0.2
+
+#: Share of a region's requests below which their number at its targets tells nothing.
+_LEAST_SHARE = 0.2
+
 #: Seconds of work that are assumed before a service has answered.
 _ASSUMED_LATENCY = 0.3
 
@@ -50,12 +56,18 @@
             settings.retry_window, settings.retry_ratio, settings.retry_allowance
         )
         self._arrivals: deque[timedelta] = deque()
+        self._busy = 0.0
 
     def count_request(self, now: timedelta) -> None:
         """Count a caller's request."""
         self._arrivals.append(now)
         self.retries.count_request(now)
 
+    def observe_busy(self, requests: int) -> float:
+        """Take the requests at the region's targets now, and return their number of late."""
+        self._busy += _BUSY_WEIGHT * (requests - self._busy)
+        return self._busy
+
     def rate(self, now: timedelta) -> float:
         """Return the requests/s of late."""
         while self._arrivals and now - self._arrivals[0] > _RATE_WINDOW:
@@ -171,12 +183,18 @@
             target for target in self.targets.ready(name) if target.domain not in self.evacuated
         ]
         region = self.settings.region
+        near = [target for target in usable if target.region == region]
         code = short_hash(name)
         own_rate = service.rate(now)
-        work = service.times.warm(_ASSUMED_LATENCY)
+        work = service.times.mean(_ASSUMED_LATENCY)
+        demand = work * (own_rate + self.peers.rate(code, region, now))
+        busy = service.observe_busy(sum(self.running(target.name) for target in near))
+        if demand > 0:
+            # What keeps the targets busy is known better than the work that was estimated.
+            demand = max(demand, busy / max(_LEAST_SHARE, service.kept.share))
         return RegionLoad(
-            demand=work * (own_rate + self.peers.rate(code, region, now)),
-            capacity=sum(target.slots for target in usable if target.region == region),
+            demand=demand,
+            capacity=sum(target.slots for target in near),
             all_demand=work * (own_rate + self.peers.rate(code, None, now)),
             all_capacity=sum(target.slots for target in usable),
             regions=len(set(self.settings.regions.values())),
