--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -349,7 +349,9 @@
             return self._end(exchange, ErrorKind.TARGET_FAILED, "no whole answer", None)
         wait = refused.wait if refused is not None else 0.1
         kind = ErrorKind.OVERLOADED if wait is not None else ErrorKind.NO_TARGET
-        after = retry_after(wait, exchange.left(now), self._random)
+        service = self._state.service(exchange.service)
+        service.count_refusal(now)
+        after = retry_after(wait, service.refused_part(now), exchange.left(now), self._random)
         return self._end(exchange, kind, "no room" if wait is not None else "no target", after)
 
     def _answer(self, exchange: _Exchange, placed: Placed, answer: TargetAnswer) -> HttpResponse:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -56,6 +56,7 @@
             settings.retry_window, settings.retry_ratio, settings.retry_allowance
         )
         self._arrivals: deque[timedelta] = deque()
+        self._refusals: deque[timedelta] = deque()
         self._busy = 0.0
 
     def count_request(self, now: timedelta) -> None:
@@ -63,6 +64,16 @@
         self._arrivals.append(now)
         self.retries.count_request(now)
 
+    def count_refusal(self, now: timedelta) -> None:
+        """Count a request that was refused for lack of room."""
+        self._refusals.append(now)
+
+    def refused_part(self, now: timedelta) -> float:
+        """Return the part of the requests of late that were refused for lack of room."""
+        _expire(self._refusals, now)
+        _expire(self._arrivals, now)
+        return min(1.0, len(self._refusals) / max(1, len(self._arrivals)))
+
     def observe_busy(self, requests: int) -> float:
         """Take the requests at the region's targets now, and return their number of late."""
         self._busy += _BUSY_WEIGHT * (requests - self._busy)
@@ -70,8 +81,7 @@
 
     def rate(self, now: timedelta) -> float:
         """Return the requests/s of late."""
-        while self._arrivals and now - self._arrivals[0] > _RATE_WINDOW:
-            self._arrivals.popleft()
+        _expire(self._arrivals, now)
         return len(self._arrivals) / _RATE_WINDOW.total_seconds()
 
 
@@ -331,5 +341,10 @@
         }
 
 
+def _expire(times: deque[timedelta], now: timedelta) -> None:
+    while times and now - times[0] > _RATE_WINDOW:
+        times.popleft()
+
+
 def _ignore(_: str) -> None:
     """Keep an object that is gone in force."""
