--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -118,6 +118,9 @@
         try:
             call = headers.read_request(request)
             return await self._handle(call)
+        except curio.TaskCancelled:
+            _log.info(Event.REQUEST_LEFT, id=call.request_id)
+            raise
         except Exception:
             _log.error(Event.HANDLER_FAILED, id=call.request_id)
             return self._refuse(call, ErrorKind.INTERNAL, "fault of this process", None)
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -53,6 +53,7 @@
         self._warm = warm
         self._sequence = 0
         self._turn = 0
+        self._live: set[str] = set()
         self._sock: Any = None
 
     async def run(self) -> None:
@@ -92,8 +93,17 @@
             if not was_live:
                 _log.info(Event.PEER_FOUND, peer=report.sender.name, host=report.sender.host)
 
+    def _note_lost(self) -> None:
+        """Log the VMs that reported before and have fallen silent since."""
+        now = self._state.clock.now()
+        live = {peer.identity.name for peer in self._state.peers if peer.live(now)}
+        for name in self._live - live:
+            _log.info(Event.PEER_LOST, peer=name)
+        self._live = live
+
     async def _send(self) -> None:
         while True:
+            self._note_lost()
             hosts = self._next_hosts()
             await self._send_to(hosts)
             await curio.sleep(self._interval(len(hosts)))
