Split the forwarder: calls of targets, answers to callers, what good answers tell

No change of behaviour but two: every request to a target counts against its rate while cold, and a failure status that is handed on in the end has its log line.

--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -0,0 +1,116 @@
+"""Answers to callers, each with its log line and its count."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawayquay.errors import ANSWERS, ErrorKind, Outcome
+from carawayquay_platform import headers
+from carawayquay_wire.events import Event, EventLog
+
+if TYPE_CHECKING:
+    from carawayquay.forwarding import CallerRequest, TargetAnswer
+    from carawayquay.placement import Placed
+    from carawayquay_gateway.exchanges import Exchange
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.http import HttpResponse
+
+__all__ = ["CallerAnswers"]
+
+_log = EventLog("answers")
+
+#: The kind of refusal for each status with which the HTTP server rejects a request.
+_REJECTED = {
+    408: ErrorKind.SLOW_REQUEST,
+    413: ErrorKind.BODY_TOO_LARGE,
+    431: ErrorKind.HEADERS_TOO_LARGE,
+    503: ErrorKind.OVERLOADED,
+}
+
+
+class CallerAnswers:
+    """Makes the answers that callers get."""
+
+    def __init__(self, state: GatewayState) -> None:
+        self._state = state
+
+    def from_target(self, exchange: Exchange, placed: Placed, answer: TargetAnswer) -> HttpResponse:
+        """Return a target's answer as its caller gets it."""
+        seconds = exchange.elapsed(self._state.clock.now())
+        self._state.metrics.record("request_seconds", seconds, service=exchange.service)
+        _log.info(
+            Event.REQUEST_ANSWERED,
+            id=exchange.call.request_id,
+            route=exchange.route.name,
+            service=exchange.service,
+            key=exchange.call.object_key,
+            target=placed.target.name,
+            domain=placed.target.domain,
+            status=answer.status,
+            ms=int(seconds * 1000),
+            wait_ms=int(placed.wait * 1000),
+            work_ms=int(placed.work * 1000),
+            warm=placed.warm,
+            running=self._state.running(placed.target.name),
+            sent=exchange.sent,
+        )
+        return headers.caller_answer(answer)
+
+    def note_attempt(self, exchange: Exchange, placed: Placed, outcome: str) -> None:
+        """Take that a target gave no final answer."""
+        self._state.metrics.count("attempts_failed_total", outcome=outcome)
+        _log.info(
+            Event.REQUEST_RETRIED,
+            id=exchange.call.request_id,
+            target=placed.target.name,
+            domain=placed.target.domain,
+            outcome=outcome,
+            ms=int(exchange.elapsed(self._state.clock.now()) * 1000),
+            wait_ms=int(placed.wait * 1000),
+            work_ms=int(placed.work * 1000),
+            warm=placed.warm,
+            running=self._state.running(placed.target.name),
+        )
+
+    def end(
+        self, exchange: Exchange, kind: ErrorKind, reason: str, after: float | None = None
+    ) -> HttpResponse:
+        """Return an answer of this system's own to a request that has a route.
+
+        :param after: seconds after which the caller should come back, or None
+        """
+        reason = f"{exchange.service}: {reason}"
+        return self.refuse(exchange.call, kind, reason, after, exchange.route.name)
+
+    def refuse(
+        self,
+        call: CallerRequest,
+        kind: ErrorKind,
+        reason: str,
+        after: float | None = None,
+        route: str = "",
+    ) -> HttpResponse:
+        """Return an answer of this system's own.
+
+        :param after: seconds after which the caller should come back, or None
+        """
+        answer = ANSWERS[kind]
+        self._state.metrics.count_refusal(kind)
+        not_run = answer.outcome is Outcome.NOT_RUN
+        _log.info(
+            Event.REQUEST_REFUSED if not_run else Event.REQUEST_FAILED,
+            id=call.request_id,
+            route=route,
+            kind=kind.value,
+            status=answer.status,
+            reason=reason,
+            retry_after=None if after is None else round(after, 3),
+        )
+        return headers.refusal(kind, answer.status, call.request_id, after)
+
+    def reject(self, status: int, reason: str) -> HttpResponse:
+        """Return the answer to a request that broke the protocol or a limit."""
+        kind = _REJECTED.get(status, ErrorKind.MALFORMED)
+        self._state.metrics.count_refusal(kind)
+        _log.info(Event.REQUEST_REFUSED, id="", kind=kind.value, status=status, reason=reason)
+        return headers.refusal(kind, status, "", None)
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/observations.py
@@ -0,0 +1,49 @@
+"""What good answers tell of the speed of targets, and for which objects they are warm."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from carawayquay.load_reports import short_hash
+
+if TYPE_CHECKING:
+    from carawayquay.placement import Placed
+    from carawayquay.warm_news import WarmNews
+    from carawayquay_gateway.exchanges import Exchange
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_gateway.target_calls import Answered
+
+__all__ = ["Observations"]
+
+#: Below this part of the time for a cold object, the target must have been warm for it.
+_WARM_BY_TIME = 0.6
+
+
+class Observations:
+    """Learns from good answers."""
+
+    def __init__(self, state: GatewayState, warm: WarmNews) -> None:
+        self._state = state
+        self._warm = warm
+
+    def record(self, exchange: Exchange, placed: Placed, answered: Answered) -> None:
+        """Take a good answer."""
+        now = self._state.clock.now()
+        stats = self._state.stats(placed.target.name)
+        stats.succeeded(now)
+        key = short_hash(exchange.call.object_key)
+        known_warm = stats.warm(key)
+        if stats.note_warm(key):
+            self._warm.add(short_hash(placed.target.name), key, now)
+        times = self._state.service(exchange.service).times
+        times.record_bytes(len(exchange.call.body) + len(answered.answer.body))
+        work = max(0.0, answered.seconds - placed.round_trip - placed.wait)
+        times.record_any(work)
+        if placed.wait > 0:
+            return
+        aim = exchange.route.target_latency.total_seconds()
+        expected = times.warm(aim) if known_warm else times.cold(aim)
+        if not known_warm and work < _WARM_BY_TIME * expected:
+            return
+        times.record(work / stats.slowness, warm=known_warm)
+        stats.record_speed(work, expected)
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -0,0 +1,165 @@
+"""Sends requests to targets, and notes what their answers or their silence say of them."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import attrs
+import curio
+
+from carawayquay_platform import headers
+from carawayquay_wire.events import Event, EventLog
+from carawayquay_wire.http_client import HttpClient, HttpError
+
+if TYPE_CHECKING:
+    from carawayquay.crash_counts import CrashCounts
+    from carawayquay.discovery import RegisteredTarget
+    from carawayquay.forwarding import TargetAnswer
+    from carawayquay.membership import Address
+    from carawayquay_gateway.round_trips import RoundTrips
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.http import HttpRequest
+
+__all__ = ["Answered", "TargetCaller", "Unanswered"]
+
+_log = EventLog("targets")
+
+#: An idle connection to a target is not used longer than this part of the time that it states.
+_IDLE_PART = 0.6
+_MAX_IDLE = timedelta(seconds=4)
+
+#: How long a target that another one replaced at its address is left alone.
+_MISPLACED_FOR = timedelta(seconds=5)
+
+#: How long a target that crashed is left alone before it is tried as a cold one.
+_CRASHED_FOR = timedelta(seconds=1)
+
+_CHECK_SECONDS = 0.4
+
+
+@attrs.frozen
+class Answered:
+    """A target's whole answer, and the seconds that it took."""
+
+    answer: TargetAnswer
+    seconds: float
+
+
+@attrs.frozen
+class Unanswered:
+    """A target gave no whole answer.
+
+    :param sent: whether it may have got the request
+    :param timed_out: whether the time ran out
+    """
+
+    sent: bool
+    timed_out: bool
+
+    @property
+    def outcome(self) -> str:
+        """The outcome's name in logs and metrics."""
+        if not self.sent:
+            return "unreachable"
+        return "timeout" if self.timed_out else "broken"
+
+
+class TargetCaller:
+    """Calls targets over connections that are kept open."""
+
+    def __init__(self, state: GatewayState, crashes: CrashCounts, round_trips: RoundTrips) -> None:
+        self._state = state
+        self._crashes = crashes
+        self._round_trips = round_trips
+        self._domains: dict[Address, str] = {}
+        self._idle_lives: dict[str, timedelta] = {}
+        self._http = HttpClient(clock=state.clock, dialled=self._note_dialled)
+
+    async def call(
+        self, target: RegisteredTarget, request: HttpRequest, left: timedelta, fingerprint: int
+    ) -> Answered | Unanswered:
+        """Send a request to a target.
+
+        :param left: how long an answer is of use
+        :param fingerprint: what equal requests share, in case the target crashes
+        """
+        stats = self._state.stats(target.name)
+        started = self._state.clock.now()
+        self._domains[target.address] = target.domain
+        self._state.cold_rates.count(target.name, started)
+        stats.running += 1
+        try:
+            response = await self._http.exchange(
+                target.address,
+                request,
+                left.total_seconds(),
+                max_idle=self._idle_lives.get(target.name, _MAX_IDLE),
+                belongs=headers.answer_belongs,
+            )
+        except HttpError as failure:
+            unanswered = Unanswered(failure.sent, failure.timed_out)
+            await self._note_unanswered(target, unanswered, fingerprint)
+            return unanswered
+        finally:
+            stats.running -= 1
+        answer = headers.read_answer(response)
+        await self._note_answer(target, answer)
+        return Answered(answer, (self._state.clock.now() - started).total_seconds())
+
+    async def _note_answer(self, target: RegisteredTarget, answer: TargetAnswer) -> None:
+        """Take what any answer says of its target."""
+        now = self._state.clock.now()
+        stats = self._state.stats(target.name)
+        if answer.idle_life is not None:
+            self._idle_lives[target.name] = answer.idle_life * _IDLE_PART
+        if answer.load is not None:
+            stats.report_load(answer.load.running + answer.load.waiting, now)
+        if answer.other_target:
+            stats.ejected_until = now + _MISPLACED_FOR
+            await self._http.drop_idle(target.address)
+
+    async def _note_unanswered(
+        self, target: RegisteredTarget, unanswered: Unanswered, fingerprint: int
+    ) -> None:
+        """Take that a target gave no whole answer."""
+        now = self._state.clock.now()
+        self._state.stats(target.name).failed(now)
+        if not unanswered.sent:
+            self._expect_cold(target, now)
+        elif not unanswered.timed_out:
+            await self._http.drop_idle(target.address)
+            await curio.spawn(self._check_crash, target, fingerprint, daemon=True)
+
+    def _expect_cold(self, target: RegisteredTarget, now: timedelta) -> None:
+        """Take a target that can't be reached for one that will be cold when it is back."""
+        configuration = self._state.configuration
+        spec = configuration.service(target.service) if configuration is not None else None
+        if spec is not None:
+            self._state.targets.mark_cold(target.name, spec.cold_start, now)
+
+    async def _check_crash(self, target: RegisteredTarget, fingerprint: int) -> None:
+        """Count a crash if a target whose connection broke takes no new one."""
+        host, port = target.address.host, target.address.port
+        try:
+            sock = await curio.timeout_after(_CHECK_SECONDS, curio.open_connection, host, port)
+        except (OSError, curio.TaskTimeout):
+            now = self._state.clock.now()
+            count = self._crashes.crash(fingerprint, now)
+            self._state.stats(target.name).ejected_until = now + _CRASHED_FOR
+            self._expect_cold(target, now)
+            _log.warning(
+                Event.TARGET_LOST,
+                target=target.name,
+                reason="crashed",
+                fingerprint=f"{fingerprint:016x}",
+                crashes=count,
+            )
+            return
+        await sock.close()
+
+    def _note_dialled(self, address: Address, seconds: float) -> None:
+        self._state.metrics.count("target_connections_total")
+        domain = self._domains.get(address)
+        if domain is not None:
+            self._round_trips.record(domain, seconds)
