--- a/packages/daemon/src/carawayquayd/cli.py
+++ b/packages/daemon/src/carawayquayd/cli.py
@@ -10,10 +10,12 @@
 
 from carawayquay.errors import ListenError, SettingsError
 from carawayquay.settings import load_settings
+from carawayquay_gateway.app import run as run_gateway
+from carawayquay_gateway.settings import load_gateway_settings
 from carawayquay_wire.events import set_up_logging
 from carawayquayd.app import Application
 
-__all__ = ["check", "main", "run"]
+__all__ = ["check", "check_gateway", "gateway", "main", "run"]
 
 _EXIT_FAILURE = 1
 _EXIT_SETTINGS = 2
@@ -29,6 +31,23 @@
     curio.run(Application(loaded).run)
 
 
+def gateway(settings: str) -> None:
+    """Carry requests on the users' platform until told to stop.
+
+    :param settings: path of the gateway's INI file
+    """
+    run_gateway(settings)
+
+
+def check_gateway(settings: str) -> None:
+    """Check a gateway's settings file and report every problem in it.
+
+    :param settings: path of the gateway's INI file
+    """
+    load_gateway_settings(Path(settings))
+    print(f"{settings}: ok")
+
+
 def check(settings: str) -> None:
     """Check a settings file and report every problem in it.
 
@@ -41,7 +60,13 @@
 def main() -> None:
     """Run the command that the arguments name; exit 2 if the settings are wrong, 1 on failure."""
     try:
-        fire.Fire({"run": run, "check": check}, name="carawayquayd")
+        commands = {
+            "run": run,
+            "check": check,
+            "gateway": gateway,
+            "check_gateway": check_gateway,
+        }
+        fire.Fire(commands, name="carawayquayd")
     except SettingsError as error:
         for problem in error.problems:
             print(f"carawayquayd: {problem}", file=sys.stderr)
--- /dev/null
+++ b/packages/gateway/tests/test_gateway_process.py
@@ -0,0 +1,181 @@
+"""A gateway as a real process serves through kills and outages; a planned stop cuts nothing."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+import time
+
+import curio
+import pytest
+from curio.network import run_server, tcp_server_socket
+from gateway_builders import SETTINGS_TEXT, answer_bytes, configuration, request, target
+
+from carawayquay.membership import Address
+from carawayquay_standins.platform_store import PlatformStoreStandIn
+from carawayquay_wire.http import HttpRequest
+from carawayquay_wire.http_client import HttpClient, HttpError
+
+pytestmark = pytest.mark.processes
+
+_WORK_SECONDS = 0.3
+_STOP_SECONDS = 6.0
+_START_SECONDS = 20.0
+_HOST = "127.9.0.1"
+
+
+async def _serve_target(sock, _):
+    while data := await sock.recv(65536):
+        line = next(it for it in data.split(b"\r\n") if it.lower().startswith(b"request-id"))
+        await curio.sleep(_WORK_SECONDS)
+        request_id = line.split(b":")[1].strip().decode()
+        await sock.sendall(answer_bytes(200, b"whole", request_id=request_id))
+
+
+class Site:
+    """A store, two targets and one gateway process."""
+
+    def __init__(self, folder):
+        self._path = folder / "gateway.ini"
+        self._log = folder / "gateway.log"
+        self.store = PlatformStoreStandIn()
+        self.process = None
+
+    async def start(self):
+        ports = _free_ports(5)
+        store = tcp_server_socket(_HOST, 0)
+        await curio.spawn(run_server, store, self.store.http.serve, daemon=True)
+        for index in range(2):
+            sock = tcp_server_socket(_HOST, 0)
+            await curio.spawn(run_server, sock, _serve_target, daemon=True)
+            spec = target(f"{_HOST}:{sock.getsockname()[1]}", max_concurrency=50)
+            await self.store.put("servers", f"t{index}", spec)
+        await self.store.put("config", "main", configuration())
+        text = SETTINGS_TEXT.replace("127.0.0.1:7000", f"{_HOST}:{store.getsockname()[1]}")
+        for index, port in enumerate(ports[:4], 1):
+            text = text.replace(f"127.0.0.1:700{index}", f"{_HOST}:{port}")
+        self._path.write_text(text.replace("7010,7020", f"{ports[4]},{ports[4]}"))
+        self.callers, self.ready, self.lookups, self.admin = (
+            Address(_HOST, port) for port in ports[:4]
+        )
+        self.launch()
+        await self.until_ready()
+        return self
+
+    def launch(self):
+        program = "import sys; from carawayquay_gateway.app import run; run(sys.argv[1])"
+        with self._log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-c", program, str(self._path)], stdout=log, stderr=log
+            )
+
+    async def until_ready(self):
+        async with curio.timeout_after(_START_SECONDS):
+            while await self.status(self.ready, "/ready") != 200:
+                await curio.sleep(0.05)
+
+    async def status(self, address, path):
+        """Return the status of a plain request, or 0 without an answer."""
+        try:
+            answer = await HttpClient().exchange(address, HttpRequest("GET", path, (), b""), 1.0)
+        except HttpError:
+            return 0
+        return answer.status
+
+    async def exited(self):
+        async with curio.timeout_after(_STOP_SECONDS):
+            while self.process.poll() is None:
+                await curio.sleep(0.02)
+        return self.process.returncode
+
+    def kill(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+def _free_ports(count):
+    socks = [tcp_server_socket(_HOST, 0) for _ in range(count)]
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock._socket.close()
+    return ports
+
+
+def _on_site(tmp_path, check):
+    async def go():
+        site = Site(tmp_path)
+        try:
+            await site.start()
+            await check(site)
+        finally:
+            site.kill()
+
+    curio.run(go)
+
+
+async def _send(site, outcomes, client, index):
+    """Send one request; note its status, or whether it was refused before it was read."""
+    try:
+        answer = await client.exchange(site.callers, request(request_id=f"r{index}"), 5.0)
+        outcomes.append(answer.status)
+    except HttpError as error:
+        outcomes.append("refused" if error.refused else f"cut: {error}")
+
+
+def test_planned_stop_answers_every_request_that_was_taken(tmp_path):
+    async def check(site):
+        outcomes = []
+        client = HttpClient()
+        async with curio.TaskGroup() as group:
+            for index in range(120):
+                await group.spawn(_send, site, outcomes, client, index)
+                await curio.sleep(0.02)
+                if index == 20:
+                    site.process.send_signal(signal.SIGTERM)
+                    stopped = time.monotonic()
+                if index == 40:
+                    assert await site.status(site.ready, "/ready") == 503
+        assert await site.exited() == 0
+        assert time.monotonic() - stopped < _STOP_SECONDS
+        assert outcomes.count(200) >= 20
+        assert [it for it in outcomes if it not in (200, "refused")] == []
+        assert site.store.object("carawayquay-entry-vms", "puget-a-1") is None
+
+    _on_site(tmp_path, check)
+
+
+def test_killed_gateway_serves_again_when_it_is_back(tmp_path):
+    async def check(site):
+        site.kill()
+        assert await site.status(site.ready, "/ready") == 0
+        site.launch()
+        await site.until_ready()
+        outcomes = []
+        await _send(site, outcomes, HttpClient(), 1)
+        assert outcomes == [200]
+
+    _on_site(tmp_path, check)
+
+
+def test_gateway_serves_on_while_the_store_is_away(tmp_path):
+    async def check(site):
+        site.store.faults.down = True
+        outcomes = []
+        for index in range(5):
+            await _send(site, outcomes, HttpClient(), index)
+        assert outcomes == [200] * 5
+        assert await site.status(site.ready, "/ready") == 200
+
+    _on_site(tmp_path, check)
+
+
+def test_state_metrics_and_look_ups_are_shown_on_request(tmp_path):
+    async def check(site):
+        assert await site.status(site.admin, "/dump") == 200
+        assert await site.status(site.admin, "/metrics") == 200
+        assert await site.status(site.lookups, "/resolve?name=x&region=puget&zone=puget-a") == 200
+        assert await site.status(site.lookups, "/other") == 404
+
+    _on_site(tmp_path, check)
