Bound the memory of all request bodies together; do not copy large ones

Cause: bodies up to 67,108,864 bytes were joined from parts and copied behind the head, three times their size each, in VMs of 222 MB. A body is now read into one buffer, counted against 35% of the VM's memory (its sender waits), and sent as it is. Answers up to 64 MiB are taken (4 MiB before).

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -27,6 +27,7 @@
 from carawayquay_gateway.state import GatewayState
 from carawayquay_gateway.watcher import Watcher
 from carawayquay_platform.store import PlatformStore
+from carawayquay_wire.body_budget import BodyBudget
 from carawayquay_wire.events import Event, EventLog, set_up_bounded_logging
 from carawayquay_wire.http import HttpLimits
 from carawayquay_wire.http_server import HttpServer
@@ -46,6 +47,13 @@
 _FLUSH_SECONDS = 0.2
 _STOP_POLL_SECONDS = 0.05
 
+#: Part of the process's memory that the bodies of callers' requests may take together.
+_BODIES_PART = 0.35
+_BYTES_IN_MB = 1_000_000
+
+#: Time in which a body must have come, which the caller's own deadline ends earlier as a rule.
+_BODY_SECONDS = 60.0
+
 #: Connections of callers that are open at once.
 _CONNECTIONS = 1500
 
@@ -93,7 +101,10 @@
         selection = Selection(self._state, round_trips, generator)
         self._forwarder = Forwarder(self._state, selection, crashes, warm, round_trips, generator)
         limits = HttpLimits(connections=_CONNECTIONS)
-        self._caller_server = HttpServer(self._forwarder.handle, self._forwarder.reject, limits)
+        bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_PART))
+        self._caller_server = HttpServer(
+            self._forwarder.handle, self._forwarder.reject, limits, bodies
+        )
         self._caller_listener = Listener(settings.callers, self._caller_server.serve)
         self._listeners = [
             self._caller_listener,
@@ -104,6 +115,7 @@
         gauge = self._state.metrics.gauge
         gauge("caller_connections", lambda: self._caller_server.open_connections)
         gauge("requests_active", lambda: self._forwarder.active)
+        gauge("body_bytes", lambda: float(bodies.used))
         gauge("stopping", lambda: float(self._state.stopping))
 
     async def run(self) -> None:
@@ -145,6 +157,7 @@
                     HttpLimits(
                         header_bytes=limits.header_bytes,
                         body_bytes=limits.body_bytes,
+                        body_seconds=_BODY_SECONDS,
                         header_seconds=limits.header_timeout.total_seconds(),
                         idle_seconds=limits.idle_timeout.total_seconds(),
                         connections=_CONNECTIONS,
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -64,6 +64,16 @@
         "requests/s to a cold target beyond that",
         "0",
     ),
+    Setting(
+        "limits",
+        "memory_mb",
+        SettingKind.COUNT,
+        "memory_mb",
+        "memory that the process may take, in MB",
+        "256",
+        32,
+        1_000_000,
+    ),
     Setting("log", "level", SettingKind.LEVEL, "log_level", "lowest level that is logged", "INFO"),
 )
 
@@ -93,6 +103,7 @@
     retry_allowance: float
     cold_over: float
     cold_slack: float
+    memory_mb: int
     log_level: str
     regions: dict[str, str]
 
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -37,6 +37,8 @@
 
 _CHECK_SECONDS = 0.4
 
+_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
 
 @attrs.frozen
 class Answered:
@@ -74,7 +76,7 @@
         self._round_trips = round_trips
         self._domains: dict[Address, str] = {}
         self._idle_lives: dict[str, timedelta] = {}
-        self._http = HttpClient(clock=state.clock, dialled=self._note_dialled)
+        self._http = HttpClient(_MAX_ANSWER_BYTES, state.clock, self._note_dialled)
 
     async def call(
         self, target: RegisteredTarget, request: HttpRequest, left: timedelta, fingerprint: int
--- /dev/null
+++ b/packages/wire/src/carawayquay_wire/body_budget.py
@@ -0,0 +1,67 @@
+"""Bounds the memory that the bodies of all requests in a process take together."""
+
+from __future__ import annotations
+
+import curio
+
+__all__ = ["SMALL_BODY_BYTES", "BodyBudget", "Reservation"]
+
+#: Bodies up to this size are not counted.
+SMALL_BODY_BYTES = 64 * 1024
+
+
+class BodyBudget:
+    """Hands out memory for bodies; who gets none waits, and so does the sender of the body.
+
+    :param capacity: bytes of all bodies together; a larger body is let through alone
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._used = 0
+        self._freed = curio.Condition()
+
+    @property
+    def used(self) -> int:
+        """Bytes that are handed out."""
+        return self._used
+
+    def reservation(self) -> Reservation:
+        """Return a reservation of nothing, for one body."""
+        return Reservation(self)
+
+    async def take(self, size: int, *, held: int) -> None:
+        """Wait until bytes are free, and take them.
+
+        :param held: bytes that the same body has already
+        """
+        async with self._freed:
+            while self._used + size > self._capacity and self._used > held:
+                await self._freed.wait()
+            self._used += size
+
+    async def give_back(self, size: int) -> None:
+        """Give bytes back."""
+        async with self._freed:
+            self._used -= size
+            await self._freed.notify_all()
+
+
+class Reservation:
+    """The memory of one body."""
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self._budget = budget
+        self._size = 0
+
+    async def grow(self, size: int) -> None:
+        """Wait until the body may have a size."""
+        if size > max(self._size, SMALL_BODY_BYTES):
+            await self._budget.take(size - self._size, held=self._size)
+            self._size = size
+
+    async def release(self) -> None:
+        """Give the memory back."""
+        size, self._size = self._size, 0
+        if size:
+            await self._budget.give_back(size)
--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -48,7 +48,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     peer: str = ""
 
     def header(self, name: bytes) -> str | None:
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -29,6 +29,9 @@
 
 _READ_BYTES = 65536
 _IDLE_CONNECTIONS = 32
+
+#: Larger bodies are sent by a call of their own instead of being copied behind the head.
+_COPIED_BYTES = 64 * 1024
 _DIAL_SECONDS = 1.0
 
 #: Keep-alive probes of connections, so that one that went silent for good fails in about 3 s.
@@ -126,17 +129,25 @@
             await self._sock.close()
 
     async def _send(self, request: HttpRequest) -> None:
-        await self._sock.sendall(self._encode(request))
+        """Send a request; a large body is not copied."""
+        head, body = self._encode(request), request.body
+        if len(body) <= _COPIED_BYTES:
+            await self._sock.sendall(head + body)
+            return
+        await self._sock.sendall(head)
+        await self._sock.sendall(body)
 
     def _encode(self, request: HttpRequest) -> bytes:
+        """Return the head of a request, and take its body for sent."""
         headers = [*request.headers, (b"content-length", b"%d" % len(request.body))]
         if request.header(b"host") is None:
             headers.insert(0, (b"host", str(self._address).encode()))
         head = h11.Request(method=request.method, target=request.target, headers=headers)
         data = self._h11.send(head)
         if request.body:
-            data += self._h11.send(h11.Data(data=request.body))
-        return data + self._h11.send(h11.EndOfMessage())
+            self._h11.send_with_data_passthrough(h11.Data(data=request.body))
+        self._h11.send(h11.EndOfMessage())
+        return data
 
     def _expect_next_answer(self, request: HttpRequest) -> None:
         """Read a further answer to a request that was sent, after one that is another's.
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -11,12 +11,15 @@
 import curio
 import h11
 
+from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from carawayquay_wire.body_budget import Reservation
+
     Result = HttpResponse | None
     Handler = Callable[[HttpRequest], Result | Awaitable[Result]]
 
@@ -32,6 +35,12 @@
 _REFUSE_SECONDS = 1.0
 #: How often within a time limit it is looked for what exceeds it.
 _SWEEPS = 8
+
+#: Memory for the bodies of all connections of a server that was given none.
+_BODIES_BYTES = 64 * 1024 * 1024
+
+#: Memory that is reserved for a body of unknown length, before it turns out to be larger.
+_FIRST_BYTES = 1024 * 1024
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -52,6 +61,7 @@
 
     :param handler: gives the answer to a request
     :param reject: gives the answer to a request that broke the protocol or a limit
+    :param bodies: the memory that the bodies of all connections share
     """
 
     def __init__(
@@ -59,8 +69,10 @@
         handler: Handler,
         reject: Callable[[int, str], HttpResponse],
         limits: HttpLimits | None = None,
+        bodies: BodyBudget | None = None,
     ) -> None:
         self._handler = handler
+        self._bodies = bodies or BodyBudget(_BODIES_BYTES)
         self._reject = reject
         self._limits = limits or HttpLimits()
         self._closing = False
@@ -141,8 +153,17 @@
 
     async def _serve_one(self, sock: Any, connection: h11.Connection, peer: str) -> bool:
         """Serve one request and return whether the connection may carry another."""
+        reserved = self._bodies.reservation()
         try:
-            request = await self._read_request(sock, connection, peer)
+            return await self._serve_reserved(sock, connection, peer, reserved)
+        finally:
+            await reserved.release()
+
+    async def _serve_reserved(
+        self, sock: Any, connection: h11.Connection, peer: str, reserved: Reservation
+    ) -> bool:
+        try:
+            request = await self._read_request(sock, connection, peer, reserved)
         except _RejectedError as rejection:
             await self._write_rejection(sock, connection, rejection)
             return False
@@ -158,14 +179,14 @@
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
     async def _read_request(
-        self, sock: Any, connection: h11.Connection, peer: str
+        self, sock: Any, connection: h11.Connection, peer: str, reserved: Reservation
     ) -> HttpRequest | None:
         try:
             head = await self._read_head(sock, connection)
             if head is None:
                 return None
             _check_head(head, self._limits)
-            body = await self._read_body(sock, connection)
+            body = await self._read_body(sock, connection, _content_length(head), reserved)
         except h11.RemoteProtocolError as error:
             raise _RejectedError(error.error_status_hint, str(error)) from error
         return HttpRequest(
@@ -217,33 +238,49 @@
             raise _RejectedError(408, reason) from None
         return event
 
-    async def _read_body(self, sock: Any, connection: h11.Connection) -> bytes:
+    async def _read_body(
+        self, sock: Any, connection: h11.Connection, length: int, reserved: Reservation
+    ) -> bytes | bytearray:
+        """Read a body.
+
+        :param length: the stated length, 0 if there is none
+        """
         event = connection.next_event()
         if isinstance(event, h11.EndOfMessage):
             return b""
         if connection.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._send(sock, connection.send(go_on))
-        parts = []
-        size = 0
+        body = bytearray()
         try:
             async with curio.timeout_after(self._limits.body_seconds):
+                await reserved.grow(length)
                 while not isinstance(event, h11.EndOfMessage):
                     if event is h11.NEED_DATA:
                         connection.receive_data(await sock.recv(_READ_BYTES))
                     elif isinstance(event, h11.Data):
-                        size += len(event.data)
+                        size = len(body) + len(event.data)
                         if size > self._limits.body_bytes:
-                            raise _RejectedError(
-                                413, f"body exceeds {self._limits.body_bytes} bytes"
-                            )
-                        parts.append(bytes(event.data))
+                            limit = self._limits.body_bytes
+                            raise _RejectedError(413, f"body exceeds {limit} bytes")
+                        if size > length:
+                            await reserved.grow(self._reserved_bytes(size))
+                        body += event.data
                     else:
                         raise _RejectedError(400, "body ended early")
                     event = connection.next_event()
         except curio.TaskTimeout:
             raise _RejectedError(408, "body came too slowly") from None
-        return b"".join(parts)
+        return bytes(body) if len(body) <= SMALL_BODY_BYTES else body
+
+    def _reserved_bytes(self, size: int) -> int:
+        """Return the memory to reserve for a body of unknown length that has a size so far.
+
+        Two steps, so that bodies which grow side by side seldom wait for each other.
+        """
+        if size <= SMALL_BODY_BYTES:
+            return 0
+        return _FIRST_BYTES if size <= _FIRST_BYTES else self._limits.body_bytes
 
     async def _run(self, sock: Any, connection: h11.Connection, work: Any) -> HttpResponse | None:
         """Await the answer; cancel the work and return None if the caller closes first."""
@@ -334,6 +371,14 @@
         await sock.shutdown(2)
 
 
+def _content_length(head: h11.Request) -> int:
+    """Return the stated length of a body, 0 if there is none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
 def _check_head(head: h11.Request, limits: HttpLimits) -> None:
     """Refuse a head that another reader could understand differently, or that is too large.
 
@@ -344,11 +389,8 @@
     size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
     if size > limits.header_bytes:
         raise _RejectedError(431, f"headers exceed {limits.header_bytes} bytes")
-    length = None
-    for name, value in head.headers:
-        if name == b"content-length":
-            length = int(value)
-    if length is None:
+    length = _content_length(head)
+    if not length:
         return
     if any(name == b"transfer-encoding" for name, _ in head.headers):
         raise _RejectedError(400, "both content-length and transfer-encoding")
