Keep targets that lapsed while the store was away until they had time to come back

Cause: after an outage a list without lapsed entries removed every target at once, though living ones are back within 2 s. Names of targets by hash went stale when one replaced another (same count). State is split: adoption of objects, measures of a service.

--- a/packages/core/src/carawayquay/discovery.py
+++ b/packages/core/src/carawayquay/discovery.py
@@ -63,6 +63,7 @@
         self._targets: dict[str, RegisteredTarget] = {}
         self._cold_until: dict[str, timedelta] = {}
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
+        self._changes = 0
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -70,6 +71,11 @@
     def __iter__(self) -> Iterable[RegisteredTarget]:
         return iter(self._targets.values())
 
+    @property
+    def changes(self) -> int:
+        """The number of changes so far."""
+        return self._changes
+
     def get(self, name: str) -> RegisteredTarget | None:
         """Return a target by its name, or None."""
         return self._targets.get(name)
@@ -108,7 +114,7 @@
         if before is None or before.incarnation != target.incarnation:
             self._cold_until.pop(target.name, None)
         self.mark_cold(target.name, target.cold_for, now)
-        self._by_service.clear()
+        self._note_change()
         return TargetChange(before, target)
 
     def remove(self, name: str) -> TargetChange | None:
@@ -117,7 +123,7 @@
         self._cold_until.pop(name, None)
         if before is None:
             return None
-        self._by_service.clear()
+        self._note_change()
         return TargetChange(before, None)
 
     def replace(self, targets: Iterable[RegisteredTarget], now: timedelta) -> list[TargetChange]:
@@ -131,6 +137,10 @@
         changes.extend(self.remove(name) for name in list(self._targets) if name not in listed)
         return [change for change in changes if change is not None]
 
+    def _note_change(self) -> None:
+        self._by_service.clear()
+        self._changes += 1
+
 
 def _outdated(target: RegisteredTarget, known: RegisteredTarget) -> bool:
     """Return whether a registration is older than the known one of the same name."""
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -148,7 +148,7 @@
         """Move what changes with time: shares of regions, limits of connections."""
         version = None
         while True:
-            self._state.update_shares(self._state.clock.now())
+            self._state.update(self._state.clock.now())
             configuration = self._state.configuration
             if configuration is not None and configuration.version != version:
                 version = configuration.version
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/service_state.py
@@ -0,0 +1,66 @@
+"""What is measured and counted for one service."""
+
+from __future__ import annotations
+
+from collections import deque
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from carawayquay.kept_share import KeptShare
+from carawayquay.retry_budget import RetryBudget
+from carawayquay.target_stats import ServiceTimes
+
+if TYPE_CHECKING:
+    from carawayquay_gateway.settings import GatewaySettings
+
+__all__ = ["ServiceState"]
+
+#: Span over which requests and refusals are counted.
+_WINDOW = timedelta(seconds=3)
+
+#: Weight of the present among the requests at a region's targets, as it is looked at.
+_BUSY_WEIGHT = 0.2
+
+
+class ServiceState:
+    """What is measured and counted for one service."""
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self.times = ServiceTimes()
+        self.kept = KeptShare()
+        self.retries = RetryBudget(
+            settings.retry_window, settings.retry_ratio, settings.retry_allowance
+        )
+        self._arrivals: deque[timedelta] = deque()
+        self._refusals: deque[timedelta] = deque()
+        self._busy = 0.0
+
+    def count_request(self, now: timedelta) -> None:
+        """Count a caller's request."""
+        self._arrivals.append(now)
+        self.retries.count_request(now)
+
+    def count_refusal(self, now: timedelta) -> None:
+        """Count a request that was refused for lack of room."""
+        self._refusals.append(now)
+
+    def refused_part(self, now: timedelta) -> float:
+        """Return the part of the requests of late that were refused for lack of room."""
+        _expire(self._refusals, now)
+        _expire(self._arrivals, now)
+        return min(1.0, len(self._refusals) / max(1, len(self._arrivals)))
+
+    def observe_busy(self, requests: int) -> float:
+        """Take the requests at the region's targets now, and return their number of late."""
+        self._busy += _BUSY_WEIGHT * (requests - self._busy)
+        return self._busy
+
+    def rate(self, now: timedelta) -> float:
+        """Return the requests/s of late."""
+        _expire(self._arrivals, now)
+        return len(self._arrivals) / _WINDOW.total_seconds()
+
+
+def _expire(times: deque[timedelta], now: timedelta) -> None:
+    while times and now - times[0] > _WINDOW:
+        times.popleft()
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -2,42 +2,30 @@
 
 from __future__ import annotations
 
-from collections import deque
-from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from carawayquay.cold_rates import ColdRates, ColdRights
 from carawayquay.discovery import TargetRegistry
 from carawayquay.entry_peers import EntryPeers
-from carawayquay.errors import ObjectError
-from carawayquay.kept_share import KeptShare, RegionLoad
-from carawayquay.load_reports import VMIdentity, short_hash
-from carawayquay.retry_budget import RetryBudget
-from carawayquay.target_stats import ServiceTimes, TargetStats
-from carawayquay_gateway.replicas import Adopter, Replica
-from carawayquay_platform.configuration import CONFIGURATION_NAME, parse_configuration
-from carawayquay_platform.objects import ObjectKind, StoredObject, parse_target
-from carawayquay_wire.events import Event, EventLog
+from carawayquay.kept_share import RegionLoad
+from carawayquay.load_reports import short_hash
+from carawayquay.target_stats import TargetStats
+from carawayquay_gateway.adoption import Adoption
+from carawayquay_gateway.service_state import ServiceState
+from carawayquay_platform.objects import ObjectKind
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from datetime import timedelta
 
     from carawayquay.clock import Clock
-    from carawayquay.discovery import RegisteredTarget, TargetChange
-    from carawayquay.load_reports import WarmObject
+    from carawayquay.discovery import RegisteredTarget
+    from carawayquay.load_reports import VMIdentity, WarmObject
     from carawayquay.routes import Configuration
     from carawayquay_gateway.settings import GatewaySettings
     from carawayquay_wire.metrics import Metrics
 
-__all__ = ["GatewayState", "ServiceState"]
-
-_log = EventLog("state")
-
-#: Span over which the rate of a service's requests is measured.
-_RATE_WINDOW = timedelta(seconds=3)
-
-#: Weight of the present among the requests at a region's targets, as it is looked at.
-_BUSY_WEIGHT = 0.2
+__all__ = ["GatewayState"]
 
 #: Share of a region's requests below which their number at its targets tells nothing.
 _LEAST_SHARE = 0.2
@@ -46,45 +34,6 @@
 _ASSUMED_LATENCY = 0.3
 
 
-class ServiceState:
-    """What is measured and counted for one service."""
-
-    def __init__(self, settings: GatewaySettings) -> None:
-        self.times = ServiceTimes()
-        self.kept = KeptShare()
-        self.retries = RetryBudget(
-            settings.retry_window, settings.retry_ratio, settings.retry_allowance
-        )
-        self._arrivals: deque[timedelta] = deque()
-        self._refusals: deque[timedelta] = deque()
-        self._busy = 0.0
-
-    def count_request(self, now: timedelta) -> None:
-        """Count a caller's request."""
-        self._arrivals.append(now)
-        self.retries.count_request(now)
-
-    def count_refusal(self, now: timedelta) -> None:
-        """Count a request that was refused for lack of room."""
-        self._refusals.append(now)
-
-    def refused_part(self, now: timedelta) -> float:
-        """Return the part of the requests of late that were refused for lack of room."""
-        _expire(self._refusals, now)
-        _expire(self._arrivals, now)
-        return min(1.0, len(self._refusals) / max(1, len(self._arrivals)))
-
-    def observe_busy(self, requests: int) -> float:
-        """Take the requests at the region's targets now, and return their number of late."""
-        self._busy += _BUSY_WEIGHT * (requests - self._busy)
-        return self._busy
-
-    def rate(self, now: timedelta) -> float:
-        """Return the requests/s of late."""
-        _expire(self._arrivals, now)
-        return len(self._arrivals) / _RATE_WINDOW.total_seconds()
-
-
 class GatewayState:
     """The state that the parts of a gateway share."""
 
@@ -110,17 +59,10 @@
         self._services: dict[str, ServiceState] = {}
         self._stats: dict[str, TargetStats] = {}
         self._names: dict[int, str] = {}
-        self.replicas = {
-            ObjectKind.CONFIGURATION: Replica(
-                ObjectKind.CONFIGURATION, Adopter(self._adopt_configuration, _ignore)
-            ),
-            ObjectKind.TARGETS: Replica(
-                ObjectKind.TARGETS, Adopter(self._adopt_target, self._drop_target)
-            ),
-            ObjectKind.EVACUATIONS: Replica(
-                ObjectKind.EVACUATIONS, Adopter(self._adopt_evacuation, self._drop_evacuation)
-            ),
-        }
+        self._names_of = -1
+        self.store_failed_at: timedelta | None = None
+        self.adoption = Adoption(self)
+        self.replicas = self.adoption.replicas()
 
     @property
     def ready(self) -> bool:
@@ -179,9 +121,21 @@
             return True
         return self.cold_rates.room(target.name, self._cold_share(target, now), now)
 
-    def update_shares(self, now: timedelta) -> None:
-        """Move the shares of requests that stay in their region."""
+    def forget_target(self, name: str) -> None:
+        """Drop what was measured of a target that is gone, unless a request is still there."""
+        self.cold_rates.forget(name)
+        stats = self._stats.get(name)
+        if stats is not None and stats.running == 0:
+            del self._stats[name]
+
+    def update(self, now: timedelta) -> None:
+        """Apply what follows from the time that has passed."""
         self.peers.expire(now)
+        self.adoption.remove_lapsed()
+        self._update_shares(now)
+
+    def _update_shares(self, now: timedelta) -> None:
+        """Move the shares of requests that stay in their region."""
         if self.configuration is None:
             return
         for name in self.configuration.service_names:
@@ -220,7 +174,8 @@
 
     def _target_names(self) -> dict[int, str]:
         """Return the names of the registered targets by their short hashes."""
-        if len(self._names) != len(self.targets):
+        if self._names_of != self.targets.changes:
+            self._names_of = self.targets.changes
             self._names = {short_hash(target.name): target.name for target in self.targets}
         return self._names
 
@@ -238,70 +193,6 @@
             near = sorted(vm.name for vm in vms if vm.region == target.region)
         return tuple(near or sorted(vm.name for vm in vms))
 
-    def _adopt_configuration(self, stored: StoredObject) -> None:
-        if stored.name != CONFIGURATION_NAME:
-            return
-        try:
-            configuration = parse_configuration(stored.value)
-        except ObjectError as error:
-            _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
-            return
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self.configuration = configuration
-        _log.info(
-            Event.OBJECT_ADOPTED,
-            kind="configuration",
-            version=configuration.version,
-            revision=stored.revision,
-            routes=len(configuration.routes),
-        )
-
-    def _adopt_target(self, stored: StoredObject) -> None:
-        try:
-            target = parse_target(stored, self.settings.regions)
-        except ObjectError as error:
-            _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
-            return
-        self._note(self.targets.register(target, self.clock.now()), stored.revision)
-
-    def _drop_target(self, name: str) -> None:
-        self._note(self.targets.remove(name), 0)
-
-    def _note(self, change: TargetChange | None, revision: int) -> None:
-        match change:
-            case None:
-                return
-            case _ if change.after is None:
-                _log.info(Event.TARGET_LOST, target=change.before.name)
-                self.cold_rates.forget(change.before.name)
-                stats = self._stats.get(change.before.name)
-                if stats is not None and stats.running == 0:
-                    del self._stats[change.before.name]
-            case _:
-                before, after = change.before, change.after
-                if before is not None and before.incarnation != after.incarnation:
-                    self.stats(after.name).restarted()
-                if before is None or before.state is not after.state or after.cold_for:
-                    _log.info(
-                        Event.TARGET_FOUND,
-                        target=after.name,
-                        service=after.service,
-                        state=after.state.value,
-                        domain=after.domain,
-                        cold_ms=int(after.cold_for.total_seconds() * 1000),
-                        revision=revision,
-                    )
-
-    def _adopt_evacuation(self, stored: StoredObject) -> None:
-        self.evacuated.add(stored.name)
-        _log.info(Event.EVACUATION_STARTED, domain=stored.name, revision=stored.revision)
-
-    def _drop_evacuation(self, name: str) -> None:
-        self.evacuated.discard(name)
-        _log.info(Event.EVACUATION_ENDED, domain=name)
-
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON takes it."""
         now = self.clock.now()
@@ -339,12 +230,3 @@
                 for name, service in self._services.items()
             },
         }
-
-
-def _expire(times: deque[timedelta], now: timedelta) -> None:
-    while times and now - times[0] > _RATE_WINDOW:
-        times.popleft()
-
-
-def _ignore(_: str) -> None:
-    """Keep an object that is gone in force."""
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -227,6 +227,7 @@
             # After an outage the watch may have missed what the store forgot meanwhile.
             self._stale = True
             self._failed_at = self._state.clock.now()
+            self._state.store_failed_at = self._failed_at
         if connected is self._connected:
             return
         self._connected = connected
--- /dev/null
+++ b/packages/gateway/tests/test_adoption.py
@@ -0,0 +1,70 @@
+"""Targets that lapsed while the store was away stay in use until they had time to come back."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from gateway_builders import new_state, stored, target
+
+from carawayquay.clock import ManualClock
+from carawayquay.load_reports import WarmObject, short_hash
+from carawayquay_platform.objects import ObjectKind
+from carawayquay_platform.store import ObjectListing
+
+
+def _state(**changes):
+    clock = ManualClock(timedelta(seconds=100))
+    state = new_state(clock=clock, targets=[("t1", target(**changes))])
+    return state, clock
+
+
+def _list(state, revision, *names):
+    objects = tuple(stored(name, target(), revision) for name in names)
+    state.replicas[ObjectKind.TARGETS].apply_listing(ObjectListing(revision, objects))
+
+
+def test_target_that_is_gone_is_not_used_any_more():
+    state, _ = _state()
+    _list(state, 30)
+    assert state.targets.get("t1") is None
+
+
+def test_target_that_lapsed_in_an_outage_is_used_until_it_is_back():
+    state, clock = _state()
+    state.store_failed_at = clock.now()
+    clock.advance(timedelta(seconds=1))
+    _list(state, 30)
+    assert state.targets.ready("granite")
+    clock.advance(timedelta(seconds=1.5))
+    _list(state, 31, "t1")
+    clock.advance(timedelta(seconds=5))
+    state.update(clock.now())
+    assert state.targets.get("t1") is not None
+
+
+def test_target_that_is_still_missing_two_seconds_after_the_return_is_gone():
+    state, clock = _state()
+    state.store_failed_at = clock.now()
+    _list(state, 30)
+    clock.advance(timedelta(seconds=1.9))
+    state.update(clock.now())
+    assert state.targets.get("t1") is not None
+    clock.advance(timedelta(seconds=0.1))
+    state.update(clock.now())
+    assert state.targets.get("t1") is None
+
+
+def test_target_that_drained_is_gone_at_once_also_after_an_outage():
+    state, clock = _state(state="draining")
+    state.store_failed_at = clock.now()
+    _list(state, 30)
+    assert state.targets.get("t1") is None
+
+
+def test_news_of_a_target_that_took_another_ones_place_is_understood():
+    state, _ = _state()
+    state.learn_warm([WarmObject(short_hash("t1"), 7)])
+    assert state.stats("t1").warm(7)
+    _list(state, 30, "t2")
+    state.learn_warm([WarmObject(short_hash("t2"), 7)])
+    assert state.stats("t2").warm(7)
