Drop idle connections when a used one falls silent; share descriptors between callers and targets

Cause: only the silent connection itself was closed at its time-out; each idle one beside it cost another request. Callers' connections were bounded by a number that a VM of 1,535 descriptors lacks. The outage test runs the state's clock too: it passed or failed by whether the removal was seen before or after the failure, since a target that may have lapsed is removed by that clock.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -54,8 +54,8 @@
 #: Time in which a body must have come, which the caller's own deadline ends earlier as a rule.
 _BODY_SECONDS = 60.0
 
-#: Connections of callers that are open at once.
-_CONNECTIONS = 1500
+#: Part of the process's descriptors that callers' connections may take; the rest is for targets.
+_CALLERS_PART = 0.5
 
 #: Time kept back from a planned stop's grace for the last answers and the end of the process.
 _EXIT_SECONDS = 0.4
@@ -100,7 +100,8 @@
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
         self._forwarder = Forwarder(self._state, selection, crashes, warm, round_trips, generator)
-        limits = HttpLimits(connections=_CONNECTIONS)
+        self._connections = int(settings.descriptors * _CALLERS_PART)
+        limits = HttpLimits(connections=self._connections)
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_PART))
         self._caller_server = HttpServer(
             self._forwarder.handle, self._forwarder.reject, limits, bodies
@@ -160,7 +161,7 @@
                         body_seconds=_BODY_SECONDS,
                         header_seconds=limits.header_timeout.total_seconds(),
                         idle_seconds=limits.idle_timeout.total_seconds(),
-                        connections=_CONNECTIONS,
+                        connections=self._connections,
                     )
                 )
             await curio.sleep(_SHARES_SECONDS)
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -74,6 +74,16 @@
         32,
         1_000_000,
     ),
+    Setting(
+        "limits",
+        "descriptors",
+        SettingKind.COUNT,
+        "descriptors",
+        "file descriptors that the process may have open",
+        "1024",
+        512,
+        1_000_000,
+    ),
     Setting("log", "level", SettingKind.LEVEL, "log_level", "lowest level that is logged", "INFO"),
 )
 
@@ -104,6 +114,7 @@
     cold_over: float
     cold_slack: float
     memory_mb: int
+    descriptors: int
     log_level: str
     regions: dict[str, str]
 
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -101,6 +101,9 @@
             )
         except HttpError as failure:
             unanswered = Unanswered(failure.sent, failure.timed_out)
+            if failure.timed_out and not failure.fresh:
+                # What made this connection silent may have silenced the idle ones too.
+                await self._http.drop_idle(target.address)
             await self._note_unanswered(target, unanswered, fingerprint)
             return unanswered
         finally:
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -181,3 +181,20 @@
     forwarder, state = new_forwarder([])
     state.configuration.find = None
     assert run(forwarder.handle, request()).status == 500
+
+
+def test_idle_connections_are_dropped_when_a_used_one_falls_silent():
+    configured = configuration(route(timeout="300ms", kind="non_idempotent"))
+
+    async def fall_silent():
+        it = await ScriptedTarget(answer_bytes(), answer_bytes(), 5.0, answer_bytes()).start()
+        forwarder, _ = new_forwarder([("t0", target(it.address))], configured)
+        async with curio.TaskGroup() as group:
+            await group.spawn(forwarder.handle, request())
+            await group.spawn(forwarder.handle, request())
+        statuses = [(await forwarder.handle(request())).status for _ in range(2)]
+        return statuses, it.connections
+
+    statuses, connections = run(fall_silent)
+    assert statuses == [504, 200]
+    assert connections == 3
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -43,9 +43,17 @@
             state, client, state.replicas[kind], random.Random(1), timedelta(seconds=0.5)
         )
         await curio.spawn(watcher.run, daemon=True)
+    await curio.spawn(_update, state, daemon=True)
     return state
 
 
+async def _update(state):
+    """Let the state follow the time, as the gateway does."""
+    while True:
+        state.update(state.clock.now())
+        await curio.sleep(0.05)
+
+
 async def _until(condition):
     while not condition():
         await curio.sleep(0.01)
