--- a/packages/daemon/src/carawayquayd/app.py
+++ b/packages/daemon/src/carawayquayd/app.py
@@ -144,9 +144,9 @@
         """
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._stop_when_asked, StopSignal())
-            await group.spawn(_listen, self._caller_listener)
-            await group.spawn(_listen, self._admin_listener)
-            await group.spawn(_listen, self._peer_listener)
+            await group.spawn(self._caller_listener.run_forever)
+            await group.spawn(self._admin_listener.run_forever)
+            await group.spawn(self._peer_listener.run_forever)
             await group.spawn(self._heartbeats.run)
             for kind in self._state.objects.kinds:
                 lists = kind == VM_LISTS
@@ -203,9 +203,3 @@
 
     async def _handle_peer(self, message: Any) -> Any:
         return await self._peers.handle(message)
-
-
-async def _listen(listener: Listener) -> None:
-    """Run a listener; one that was closed on purpose doesn't end the application."""
-    await listener.run()
-    await curio.Event().wait()
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -127,7 +127,7 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._stop_when_asked, StopSignal())
             for listener in self._listeners:
-                await group.spawn(_listen, listener)
+                await group.spawn(listener.run_forever)
             await group.spawn(self._peers.run)
             for watcher in self._watchers:
                 await group.spawn(watcher.run)
@@ -191,12 +191,6 @@
                 await curio.sleep(_STOP_POLL_SECONDS)
 
 
-async def _listen(listener: Listener) -> None:
-    """Run a listener; one that was closed on purpose doesn't end the application."""
-    await listener.run()
-    await curio.Event().wait()
-
-
 def _listener(address: Address, handle: object) -> Listener:
     """Return a listener whose handler answers in place."""
     return Listener(address, HttpServer(handle, reject).serve)
--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -57,6 +57,14 @@
             finally:
                 await self._accepting.cancel()
 
+    async def run_forever(self) -> None:
+        """Accept connections; after :meth:`close`, wait to be cancelled.
+
+        :raises ListenError: if the address can't be listened at
+        """
+        await self.run()
+        await curio.Event().wait()
+
     async def close(self) -> None:
         """Accept no more connections; those that are open go on.
 
