--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -37,6 +37,9 @@
 
 _CHECK_SECONDS = 0.4
 
+#: Time for a new connection, several round trips between regions; after it another target is tried.
+_DIAL_SECONDS = 0.3
+
 _MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -76,7 +79,7 @@
         self._round_trips = round_trips
         self._domains: dict[Address, str] = {}
         self._idle_lives: dict[str, timedelta] = {}
-        self._http = HttpClient(_MAX_ANSWER_BYTES, state.clock, self._note_dialled)
+        self._http = HttpClient(_MAX_ANSWER_BYTES, state.clock, self._note_dialled, _DIAL_SECONDS)
 
     async def call(
         self, target: RegisteredTarget, request: HttpRequest, left: timedelta, fingerprint: int
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import time
 
 import curio
@@ -17,6 +18,8 @@
     target,
 )
 
+from carawayquay.load_reports import short_hash
+
 BOOKING = configuration(route(kind="non_idempotent"))
 SHED = answer_bytes(503, b"", not_executed="1")
 
@@ -198,3 +201,21 @@
     statuses, connections = run(fall_silent)
     assert statuses == [504, 200]
     assert connections == 3
+
+
+def test_target_that_takes_no_connection_leaves_time_for_another():
+    async def unanswered():
+        full = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=0)
+        port = full.getsockname()[1]
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port))
+        it = await ScriptedTarget(answer_bytes()).start()
+        forwarder, state = new_forwarder(
+            [("t0", target(f"127.0.0.1:{port}")), ("t1", target(it.address))]
+        )
+        state.stats("t0").note_warm(short_hash("17"))
+        return (await forwarder.handle(request(left_ms=1000))).status
+
+    assert run(unanswered) == 200
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -191,6 +191,7 @@
     :param max_body_bytes: the largest answer that is taken
     :param clock: by which idle connections age
     :param dialled: told of each new connection and the seconds that it took
+    :param dial_seconds: how long a new connection may take
     """
 
     def __init__(
@@ -198,10 +199,12 @@
         max_body_bytes: int = 4 * 1024 * 1024,
         clock: Clock | None = None,
         dialled: Callable[[Address, float], None] | None = None,
+        dial_seconds: float = _DIAL_SECONDS,
     ) -> None:
         self._max_body_bytes = max_body_bytes
         self._clock = clock or MonotonicClock()
         self._dialled = dialled
+        self._dial_seconds = dial_seconds
         self._idle: dict[Address, list[HttpConnection]] = {}
 
     async def exchange(
@@ -274,7 +277,7 @@
         started = time.monotonic()
         try:
             sock = await curio.timeout_after(
-                _DIAL_SECONDS, curio.open_connection, address.host, address.port
+                self._dial_seconds, curio.open_connection, address.host, address.port
             )
         except (OSError, curio.TaskTimeout) as error:
             raise HttpError(
