--- a/packages/gateway/src/carawayquay_gateway/entry.py
+++ b/packages/gateway/src/carawayquay_gateway/entry.py
@@ -33,12 +33,24 @@
 class EntryKeeper:
     """Writes this VM's entry, learns others from theirs, and removes those of VMs long gone."""
 
-    def __init__(self, state: GatewayState, store: PlatformStore, random: Random) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        store: PlatformStore,
+        random: Random,
+        unheard_seconds: float = _UNHEARD_SECONDS,
+    ) -> None:
         self._state = state
+        self._unheard_seconds = unheard_seconds
         self._store = store
         self._backoff = Backoff(_FIRST_RETRY, _LAST_RETRY, random)
         self._revision: int | None = None
 
+    @property
+    def written(self) -> bool:
+        """Whether the store has confirmed the entry."""
+        return self._revision is not None
+
     async def run(self) -> None:
         """Write the entry, then watch over those that were found."""
         while True:
@@ -51,7 +63,7 @@
                 await curio.sleep(self._backoff.next().total_seconds())
         for stored in listing.objects:
             self._learn(stored)
-        await curio.sleep(_UNHEARD_SECONDS)
+        await curio.sleep(self._unheard_seconds)
         await self._remove_unheard(listing.objects)
 
     async def remove(self) -> None:
@@ -90,7 +102,8 @@
         for stored in entries:
             if stored.name == self._state.identity.name:
                 continue
-            if self._state.peers.get(stored.name) is not None:
+            peer = self._state.peers.get(stored.name)
+            if peer is not None and peer.heard is not None:
                 continue
             try:
                 await self._store.delete(ObjectKind.ENTRY_VMS, stored.name, stored.revision)
--- /dev/null
+++ b/packages/gateway/tests/test_entry.py
@@ -0,0 +1,94 @@
+"""A VM's entry stands in the store while it runs, and entries of VMs long gone are removed."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import curio
+import pytest
+from curio.network import run_server, tcp_server_socket
+from gateway_builders import identity, new_state, run
+
+from carawayquay.load_reports import LoadReport
+from carawayquay.membership import Address
+from carawayquay_gateway.entry import EntryKeeper
+from carawayquay_platform.objects import entry_vm_spec
+from carawayquay_platform.store import PlatformStore
+from carawayquay_standins.platform_store import PlatformStoreStandIn
+
+KIND = "carawayquay-entry-vms"
+
+
+async def _keeper(store, state, unheard_seconds=90):
+    sock = tcp_server_socket("127.0.0.1", 0)
+    await curio.spawn(run_server, sock, store.http.serve, daemon=True)
+    address = Address("127.0.0.1", sock.getsockname()[1])
+    client = PlatformStore(address, timedelta(milliseconds=300))
+    return EntryKeeper(state, client, random.Random(1), unheard_seconds)
+
+
+async def _until(condition):
+    while not condition():
+        await curio.sleep(0.01)
+
+
+def test_entry_is_written_at_the_start_and_removed_at_a_planned_stop():
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state()
+        keeper = await _keeper(store, state)
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(lambda: store.object(KIND, "puget-a-1"))
+        assert store.object(KIND, "puget-a-1")["spec"] == entry_vm_spec(state.identity)
+        await keeper.remove()
+        assert store.object(KIND, "puget-a-1") is None
+
+    run(check)
+
+
+@pytest.mark.parametrize("fault", [{"lose_writes": 1}, {"refuse_status": 503}])
+def test_entry_is_written_in_the_end_whatever_happens_to_a_call(fault):
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state()
+        for name, value in fault.items():
+            setattr(store.faults, name, value)
+        keeper = await _keeper(store, state)
+        await curio.spawn(keeper.run, daemon=True)
+        await curio.sleep(0.2)
+        store.faults.refuse_status = 0
+        await _until(lambda: store.object(KIND, "puget-a-1"))
+        await _until(lambda: keeper.written)
+
+    run(check)
+
+
+def test_entry_of_an_earlier_start_is_replaced():
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state(vm=identity(incarnation=9))
+        await store.put(KIND, "puget-a-1", entry_vm_spec(identity(incarnation=3)))
+        keeper = await _keeper(store, state)
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(lambda: store.object(KIND, "puget-a-1")["spec"]["incarnation"] == 9)
+
+    run(check)
+
+
+def test_other_vms_are_learned_and_only_those_never_heard_of_are_removed():
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state()
+        for index in (2, 3, 4):
+            vm = identity(f"puget-a-{index}", f"127.0.0.{index}")
+            await store.put(KIND, vm.name, entry_vm_spec(vm))
+        await store.put(KIND, "broken", {"host": 7})
+        keeper = await _keeper(store, state, unheard_seconds=0.3)
+        await curio.spawn(keeper.run, daemon=True)
+        await _until(lambda: state.peers.get("puget-a-3"))
+        heard = identity("puget-a-2", "127.0.0.2")
+        state.peers.receive(LoadReport(heard, 1, False, ()), state.clock.now())
+        changed = entry_vm_spec(identity("puget-a-4", "127.0.0.4", incarnation=8))
+        await store.put(KIND, "puget-a-4", changed)
+        await _until(lambda: store.object(KIND, "puget-a-3") is None)
+        assert store.object(KIND, "puget-a-2")
+        assert store.object(KIND, "puget-a-4")
+
+    run(check)
--- /dev/null
+++ b/packages/gateway/tests/test_peers.py
@@ -0,0 +1,112 @@
+"""VMs that know only seeds find each other, and tell each other what they know."""
+
+from __future__ import annotations
+
+import attrs
+import curio
+from curio.network import tcp_server_socket
+from gateway_builders import identity, new_state, run
+
+from carawayquay.clock import MonotonicClock
+from carawayquay.crash_counts import CrashCounts
+from carawayquay.load_reports import short_hash
+from carawayquay.membership import Address
+from carawayquay.warm_news import WarmNews
+from carawayquay_gateway.peers import PeerExchange
+
+_DOMAINS = ("puget-a", "puget-b", "inland-a")
+_REGIONS = {"puget-a": "puget", "puget-b": "puget", "inland-a": "inland"}
+
+
+@attrs.define
+class _VM:
+    state: object
+    crashes: CrashCounts
+    warm: WarmNews
+    exchange: PeerExchange
+
+
+def _free_port():
+    sock = tcp_server_socket("127.0.0.1", 0)
+    port = sock.getsockname()[1]
+    sock._socket.close()
+    return port
+
+
+def _vm(index, port, seed):
+    domain = _DOMAINS[index]
+    host = f"127.0.8.{index + 1}"
+    vm = identity(f"{domain}-1", host, domain, _REGIONS[domain])
+    state = new_state(clock=MonotonicClock(), vm=vm)
+    state.settings = attrs.evolve(
+        state.settings,
+        callers=Address(host, 1),
+        ports=range(port, port + 1),
+        domain=domain,
+        region=_REGIONS[domain],
+        seeds=(Address(seed, 1),),
+    )
+    crashes, warm = CrashCounts(), WarmNews()
+    return _VM(state, crashes, warm, PeerExchange(state, crashes, warm))
+
+
+async def _started():
+    """Return three running VMs, each of which knows the first one only."""
+    port = _free_port()
+    vms = [_vm(index, port, "127.0.8.1") for index in range(3)]
+    for vm in vms:
+        await curio.spawn(vm.exchange.run, daemon=True)
+    await _until(lambda: all(len(vm.state.peers.live(_now(vm))) == 2 for vm in vms))
+    return vms
+
+
+def _now(vm):
+    return vm.state.clock.now()
+
+
+async def _until(condition):
+    while not condition():
+        await curio.sleep(0.02)
+
+
+def test_vms_that_know_one_seed_find_each_other():
+    run(_started)
+
+
+def test_counts_crashes_and_warm_objects_reach_the_others():
+    async def check():
+        first, *others = await _started()
+        first.state.stats("t1").running = 3
+        first.crashes.crash(99, _now(first))
+        first.warm.add(short_hash("t1"), 7, _now(first))
+        code = short_hash("t1")
+        await _until(lambda: all(vm.state.peers.running(code) == 3 for vm in others))
+        await _until(lambda: all(vm.crashes.suspect(99, _now(vm)) for vm in others))
+
+    run(check)
+
+
+def test_vm_that_leaves_is_known_to_leave_at_once():
+    async def check():
+        first, *others = await _started()
+        first.state.stopping = True
+        await first.exchange.announce()
+        name = first.state.identity.name
+        await _until(lambda: all(vm.state.peers.get(name).report.leaving for vm in others))
+        for vm in others:
+            assert name not in {peer.identity.name for peer in vm.state.peers.live(_now(vm))}
+
+    run(check)
+
+
+def test_datagrams_that_are_no_reports_do_no_harm():
+    async def check():
+        first, second, _ = await _started()
+        address = (second.state.settings.callers.host, second.state.settings.ports[0])
+        sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM)
+        for data in (b"", b"\0" * 9, b"GET / HTTP/1.1\r\n\r\n"):
+            await sock.sendto(data, address)
+        first.state.stats("t1").running = 5
+        await _until(lambda: second.state.peers.running(short_hash("t1")) == 5)
+
+    run(check)
