--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -139,6 +139,8 @@
     ) -> str:
         """Return the target that should serve an object.
 
+        The common one is used where it is not warm too, so that targets that join get a part.
+
         :param common: the one that all VMs prefer for it
         :param warm: those that are warm for it
         """
