--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -1,4 +1,4 @@
-"""What one gateway knows: configuration, targets, evacuations, peers and what it measured."""
+"""What one gateway knows: what is in force, targets, peers and what it measured."""
 
 from __future__ import annotations
 
