Believe a VM whose clock went back; follow the store to a changed address

Cause: a VM that restarts after its time of day jumped back has a lower incarnation than before, and its reports were refused for a minute: it was named to no caller and its requests were not counted. The store's address was read once, though settings may change.

--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -101,13 +101,18 @@
             self._peers[identity.name] = Peer(identity, now, self._silence(identity))
 
     def receive(self, report: LoadReport, now: timedelta) -> bool:
-        """Take a report; return False if a newer one is known."""
+        """Take a report; return False if a newer one is known.
+
+        A VM whose clock went back starts with a lower incarnation than before; it is believed once
+        its earlier start has fallen silent.
+        """
         name = report.sender.name
         if name == self._own.name:
             return False
         peer = self._peers.get(name)
         if peer is not None:
-            if report.sender.incarnation < peer.identity.incarnation:
+            older = report.sender.incarnation < peer.identity.incarnation
+            if older and peer.live(now):
                 return False
             last = peer.report
             same_start = report.sender.incarnation == peer.identity.incarnation
--- a/packages/core/tests/test_entry_peers.py
+++ b/packages/core/tests/test_entry_peers.py
@@ -73,3 +73,13 @@
     peers.receive(_report(1, third, rates=(ServiceRate(1, 4.0), ServiceRate(2, 1.0))), NOW)
     assert peers.rate(1, "west", NOW) == 9.0
     assert peers.rate(1, None, NOW) == 13.0
+
+
+def test_vm_whose_clock_went_back_is_believed_once_its_earlier_start_is_silent():
+    peers = EntryPeers(OWN)
+    peers.receive(_report(9), NOW)
+    again = VMIdentity("a-2", "10.0.0.2", "a", "west", 4)
+    assert not peers.receive(_report(1, again), NOW + timedelta(seconds=1))
+    later = NOW + timedelta(seconds=2)
+    assert peers.receive(_report(2, again), later)
+    assert [peer.identity for peer in peers.live(later)] == [again]
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -150,6 +150,7 @@
         version = None
         while True:
             self._state.update(self._state.clock.now())
+            self._store.move(self._state.settings.store)
             configuration = self._state.configuration
             if configuration is not None and configuration.version != version:
                 version = configuration.version
