Move the tests of platform/ out of it

Cause: with importlib mode pytest entered the folder platform/ as the module of that name while it collected platform/tests, so attrs found no platform.python_implementation where these tests came first (any order but that of the whole run).

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := packages/core packages/wire platform packages/daemon packages/gateway packages/ctl standins models benchmarks
-SOURCES := packages platform deploy standins models benchmarks conftest.py
+SOURCES := packages platform tests deploy standins models benchmarks conftest.py
 
 .PHONY: demo test lint model measure slopes report format clean
 
