Ask no other VM for what is known under another revision

Cause: two watching VMs may note one deletion under different revisions of the store; a VM that had watched further than that asked for the list four times a second and refused each as older. The test counts the questions and fails before.

--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -189,7 +189,7 @@
     async def _ask_peer(self) -> None:
         """Take what a live VM knows, if that is more than is known here."""
         newest = self._newest_at_peers()
-        if newest is None or newest.revision <= self._replica.changed:
+        if newest is None or newest.revision <= (self._replica.revision or 0):
             return
         peer = PlatformStore(newest.address, _PEER_TIMEOUT)
         try:
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -20,6 +20,7 @@
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_platform.store import PlatformStore
 from carawayquay_standins.platform_store import PlatformStoreStandIn
+from carawayquay_wire.http import HttpResponse
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.metrics import Metrics
 
@@ -177,6 +178,34 @@
     run(check)
 
 
+def test_vm_asks_no_other_one_for_what_it_knows_under_another_number():
+    async def check():
+        asked = []
+
+        def answer(request):
+            asked.append(request.target)
+            return HttpResponse(404)
+
+        address = await _listen(HttpServer(answer, reject), "127.0.0.2")
+        state = new_state(clock=MonotonicClock())
+        state.settings = attrs.evolve(settings(), admin=Address("127.0.0.1", address.port))
+        known = state.replicas[ObjectKind.TARGETS].revision
+        # Another VM saw the same deletion, and noted the store's revision a little later.
+        revisions = (known, known, known)
+        sender = identity("puget-a-2", "127.0.0.2")
+        state.peers.receive(LoadReport(sender, 1, False, revisions, True), _now(state))
+        replica = state.replicas[ObjectKind.TARGETS]
+        assert replica.changed < known
+        store = PlatformStore(Address("127.0.0.1", 1), timedelta(milliseconds=100))
+        watcher = Watcher(state, store, replica, random.Random(1))
+        replica_task = await curio.spawn(watcher.run, daemon=True)
+        await curio.sleep(0.5)
+        await replica_task.cancel()
+        assert asked == []
+
+    run(check)
+
+
 async def _linked(states, host_of):
     """Let VMs report to each other, and answer lists to each other."""
     port = 0
