--- a/packages/core/src/carawayquay/discovery.py
+++ b/packages/core/src/carawayquay/discovery.py
@@ -96,10 +96,6 @@
         until = self._cold_until.get(name)
         return until is not None and now < until
 
-    def cold_until(self, name: str) -> timedelta | None:
-        """Return when a target stops being cold, or None if it never was."""
-        return self._cold_until.get(name)
-
     def mark_cold(self, name: str, duration: timedelta, now: timedelta) -> None:
         """Take a target for cold for a duration at least."""
         if name in self._targets and duration > timedelta():
--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-__all__ = ["CallerRequest", "TargetAnswer", "TargetHealth", "TargetLoad"]
+__all__ = ["CallerRequest", "TargetAnswer", "TargetLoad"]
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -61,16 +61,3 @@
     load: TargetLoad | None
     closing: bool
     idle_life: timedelta | None
-
-
-@attrs.frozen
-class TargetHealth:
-    """A target's answer to a health check.
-
-    :param target: the name of the target that answered, empty if it did not say
-    :param cold_for: how much longer it stays cold
-    """
-
-    healthy: bool
-    target: str
-    cold_for: timedelta
