Let every part of the daemon agree on which VMs live

Cause: a daemon had two truths about life. Heartbeats and sightings said in the state and in look-ups who lives; claim shards also believed answers to their own questions, which are asked of the own failure domain too once maps were not confirmed for 3 s. Such an answer may be newer than the last heartbeat, so keys went on being minted of a shard whose primary the state named as lost. That is what the known red test of the takeover saw once: the key's primary was the killed VM.

Ruled out: the cache of mintable shards (each key is checked again when it is minted); the map (the store was down, it could not change).

Change: an answer is recorded as a sighting, by the time of the question as replies to heartbeats are; claim shards take life from the sightings alone, and the incarnation from whichever of heartbeat and answer is newer.

The known red entry stays until the test has been run repeatedly beside load.

--- a/packages/core/src/carawayquay/heartbeats.py
+++ b/packages/core/src/carawayquay/heartbeats.py
@@ -101,6 +101,11 @@
         heard = self._heard.get(vm)
         return heard.heartbeat if heard else None
 
+    def heard_at(self, vm: str) -> timedelta | None:
+        """Return when the last heartbeat of a VM came, or None."""
+        heard = self._heard.get(vm)
+        return heard.at if heard else None
+
     def heard(self, vm: str, now: timedelta) -> bool:
         """Return whether a VM was heard lately from itself."""
         heard = self._heard.get(vm)
@@ -153,6 +158,14 @@
         self._see(heartbeat.vm, Sighting(now, heartbeat.leaving, heartbeat.store_failed))
         return True
 
+    def record_answer(self, vm: str, leaving: bool, at: timedelta) -> None:
+        """Take that a VM answered a question other than a heartbeat.
+
+        :param leaving: whether the answer says that it is leaving
+        :param at: when it was asked
+        """
+        self._see(vm, Sighting(at, leaving, self.store_failed(vm)))
+
     def merge(self, members: Sequence[str], sightings: bytes, now: timedelta) -> None:
         """Take what another VM knows of the members of a VM list.
 
--- a/packages/daemon/src/carawayquayd/claim_shards.py
+++ b/packages/daemon/src/carawayquayd/claim_shards.py
@@ -260,14 +260,14 @@
         """Return the holder that a VM now is if it was heard lately, or None."""
         if vm == self._me.vm:
             return self._me
-        now = self._state.clock.now()
-        heartbeat = self._state.peers.last(vm)
-        if heartbeat is not None and self._state.peers.alive(vm, now):
-            return Holder(vm, heartbeat.incarnation)
+        peers = self._state.peers
+        if not peers.alive(vm, self._state.clock.now()):
+            return None
+        heartbeat, heard_at = peers.last(vm), peers.heard_at(vm)
         probed = self._probed.get(vm)
-        if probed is not None and now - probed[1] < ALIVE_FOR:
+        if probed is not None and (heard_at is None or heard_at < probed[1]):
             return Holder(vm, probed[0].incarnation)
-        return None
+        return None if heartbeat is None else Holder(vm, heartbeat.incarnation)
 
     def _leaving(self, vm: EntryVM) -> bool:
         if vm.name == self._me.vm:
@@ -355,11 +355,13 @@
     async def _probe_one(self, vm: EntryVM) -> None:
         own = self._state.settings.domain
         query = HolderQuery(own, self._maps.get(own).version)
+        asked_at = self._state.clock.now()
         try:
             answer = await self._links.call(vm.peers, query, _CALL_TIMEOUT)
         except (LinkError, RequestError):
             return
-        self._probed[vm.name] = (answer, self._state.clock.now())
+        self._probed[vm.name] = (answer, asked_at)
+        self._state.peers.record_answer(vm.name, answer.leaving, asked_at)
         if answer.shards:
             shards = tuple(entry.assignment() for entry in answer.shards)
             await self._adopt(ShardMap(own, answer.version, answer.change, shards))
