Split who holds shards from the shards; drop what only tests called

Dropped: TargetRegistry.replace and PlatformFaults.deaf_to, which nothing called; TargetAnswer.closing, since h11 ends such connections by itself. Its assertion is replaced by a test of what matters: a connection that a target says it will close carries no further request. The test of a complete list is replaced by one of removal, which is what lists do to the registry.

--- a/packages/core/src/carawayquay/discovery.py
+++ b/packages/core/src/carawayquay/discovery.py
@@ -122,17 +122,6 @@
         self._note_change()
         return TargetChange(before, None)
 
-    def replace(self, targets: Iterable[RegisteredTarget], now: timedelta) -> list[TargetChange]:
-        """Take a complete list of targets and return what it changed."""
-        changes = []
-        listed = set()
-        for target in targets:
-            listed.add(target.name)
-            if self._targets.get(target.name) != target:
-                changes.append(self.register(target, now))
-        changes.extend(self.remove(name) for name in list(self._targets) if name not in listed)
-        return [change for change in changes if change is not None]
-
     def _note_change(self) -> None:
         self._by_service.clear()
         self._changes += 1
--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -49,7 +49,6 @@
 
     :param not_run: whether the target says that it did not run the request
     :param other_target: whether another target has the address now
-    :param closing: whether the target is about to close its connections
     :param idle_life: how long it keeps an idle connection, or None if it does not say
     """
 
@@ -59,5 +58,4 @@
     not_run: bool
     other_target: bool
     load: TargetLoad | None
-    closing: bool
     idle_life: timedelta | None
--- a/packages/core/tests/test_discovery.py
+++ b/packages/core/tests/test_discovery.py
@@ -26,7 +26,8 @@
 
 def _registry(*targets):
     registry = TargetRegistry()
-    registry.replace(targets or (TARGET,), NOW)
+    for target in targets or (TARGET,):
+        registry.register(target, NOW)
     return registry
 
 
@@ -52,11 +53,12 @@
     assert registry.ready("granite") == (again,)
 
 
-def test_complete_list_removes_what_it_does_not_name():
-    registry = _registry(TARGET, attrs.evolve(TARGET, name="i-2"))
-    changes = registry.replace([TARGET], NOW)
-    assert [change.before.name for change in changes] == ["i-2"]
-    assert len(registry) == 1
+def test_removed_target_is_told_once_and_leaves_the_others():
+    other = attrs.evolve(TARGET, name="i-2")
+    registry = _registry(TARGET, other)
+    assert registry.remove("i-2").before == other
+    assert registry.remove("i-2") is None
+    assert list(registry) == [TARGET]
 
 
 def test_target_is_cold_for_the_time_that_it_says():
--- a/packages/daemon/src/carawayquayd/claim_shards.py
+++ b/packages/daemon/src/carawayquayd/claim_shards.py
@@ -21,9 +21,9 @@
 )
 from carawayquay.claims import Claim, ShardReplica
 from carawayquay.errors import LinkError, RequestError, StoreError
-from carawayquay.heartbeats import ALIVE_FOR, INTERVAL
-from carawayquay.membership import VMState
+from carawayquay.heartbeats import INTERVAL
 from carawayquay_wire.events import Event, EventLog
+from carawayquayd.holders import START_HOLD, HolderView
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -42,15 +42,9 @@
 _KIND = "claims"
 _TICK = timedelta(milliseconds=100)
 
-#: Time for which a holder must have been out of reach before its shards are taken.
-_LOST_HOLD = timedelta(seconds=1)
-
 #: A process that ticks so late was paused, and knows nothing of who was lost meanwhile.
 _PAUSE = timedelta(milliseconds=800)
 
-#: Time after its start in which a process may not have heard every other one.
-_START_HOLD = ALIVE_FOR + _LOST_HOLD
-
 #: Time for which look-ups mint keys of the shards that were found to serve.
 _MINTABLE_FOR = timedelta(milliseconds=100)
 
@@ -68,14 +62,12 @@
         self._store = store
         self._links = links
         self._me = Holder(state.settings.name, state.incarnation)
+        self._holders = HolderView(state, self._me)
         self._maps = ShardMaps()
         self._replicas: dict[ShardId, ShardReplica] = {}
-        self._probed: dict[str, tuple[HolderAnswer, timedelta]] = {}
-        self._missing: dict[Holder, timedelta] = {}
         self._busy: set[tuple[str, object]] = set()
         self._change = _Change()
         self._changes = itertools.count(1)
-        self._started_at = state.clock.now()
         self._ticked_at = state.clock.now()
         self._confirmed_at: timedelta | None = None
         self._mintable: list[tuple[ShardId, int]] = []
@@ -96,7 +88,7 @@
     @property
     def holding(self) -> bool:
         """Whether a planned stop would take claims away that another VM could hold."""
-        others = self._live(self._candidates(self._state.settings.domain))
+        others = self._holders.live(self._candidates(self._state.settings.domain))
         return bool(others) and any(r.is_primary or r.is_backup for r in self._replicas.values())
 
     def replica(self, shard: ShardId) -> ShardReplica | None:
@@ -254,52 +246,12 @@
         elif was_primary and not replica.is_primary:
             _log.info(Event.SHARD_SEALED, shard=shard, epoch=assignment.epoch)
 
-    # Who lives
-
-    def _holder(self, vm: str) -> Holder | None:
-        """Return the holder that a VM now is if it was heard lately, or None."""
-        if vm == self._me.vm:
-            return self._me
-        peers = self._state.peers
-        if not peers.alive(vm, self._state.clock.now()):
-            return None
-        heartbeat, heard_at = peers.last(vm), peers.heard_at(vm)
-        probed = self._probed.get(vm)
-        if probed is not None and (heard_at is None or heard_at < probed[1]):
-            return Holder(vm, probed[0].incarnation)
-        return None if heartbeat is None else Holder(vm, heartbeat.incarnation)
-
-    def _leaving(self, vm: EntryVM) -> bool:
-        if vm.name == self._me.vm:
-            return self._state.stopping
-        heartbeat = self._state.peers.last(vm.name)
-        probed = self._probed.get(vm.name)
-        return (
-            vm.state is VMState.LEAVING
-            or (heartbeat is not None and heartbeat.leaving)
-            or (probed is not None and probed[0].leaving)
-        )
-
-    def _lost(self, holder: Holder) -> bool:
-        current = self._holder(holder.vm)
-        if current is not None:
-            self._missing.pop(holder, None)
-            return current != holder
-        now = self._state.clock.now()
-        missing_since = self._missing.setdefault(holder, now)
-        settled = now - self._started_at >= _START_HOLD
-        return settled and now - missing_since >= _LOST_HOLD
-
     def _serving(self, domain: str, assignment: Assignment) -> bool:
         """Return whether both holders of a shard seem to live; those far away are not known."""
         if domain != self._state.settings.domain:
             return assignment.backup is not None
         holders = (assignment.primary, assignment.backup)
-        return all(holder and self._holder(holder.vm) == holder for holder in holders)
-
-    def _live(self, vms: Iterable[EntryVM]) -> tuple[Holder, ...]:
-        found = (self._holder(vm.name) for vm in vms if not self._leaving(vm))
-        return tuple(holder for holder in found if holder is not None)
+        return all(holder and self._holders.current(holder.vm) == holder for holder in holders)
 
     def _candidates(self, domain: str) -> list[EntryVM]:
         members = self._state.directory.domain(domain).members
@@ -341,11 +293,11 @@
             members = self._state.directory.domain(domain).members
             if domain != own:
                 names.update(vm.name for vm in members)
-            if domain != own or len(self._live(members)) < 2:
+            if domain != own or len(self._holders.live(members)) < 2:
                 names.update(vm.name for vm in self._neighbours(domain))
             for assignment in self._maps.get(domain).shards:
                 names.update(h.vm for h in (assignment.primary, assignment.backup) if h)
-        if self.confirmed_age <= _START_HOLD:
+        if self.confirmed_age <= START_HOLD:
             names -= set(self._state.directory.domain(own).names)
         else:
             names |= set(self._state.directory.domain(own).names)
@@ -360,8 +312,7 @@
             answer = await self._links.call(vm.peers, query, _CALL_TIMEOUT)
         except (LinkError, RequestError):
             return
-        self._probed[vm.name] = (answer, asked_at)
-        self._state.peers.record_answer(vm.name, answer.leaving, asked_at)
+        self._holders.record(answer, asked_at)
         if answer.shards:
             shards = tuple(entry.assignment() for entry in answer.shards)
             await self._adopt(ShardMap(own, answer.version, answer.change, shards))
@@ -372,7 +323,7 @@
         while True:
             now = self._state.clock.now()
             if now - self._ticked_at > _PAUSE:
-                self._missing.clear()
+                self._holders.forget_missing()
             self._ticked_at = now
             for domain in self._domains():
                 if self._plan(domain) is not None:
@@ -408,9 +359,9 @@
             return None
         return MapPlanner(
             me=self._me,
-            members=self._live(members),
-            neighbours=self._live(self._neighbours(domain)),
-            lost=self._lost,
+            members=self._holders.live(members),
+            neighbours=self._holders.live(self._neighbours(domain)),
+            lost=self._holders.lost,
             complete=lambda shard: self._replica(shard).complete,
             refused=lambda shard: self._replica(shard).refused,
             idle=lambda shard: self._replica(shard).idle,
@@ -418,9 +369,9 @@
 
     def _settled(self, members: Iterable[EntryVM]) -> bool:
         """Return whether every VM was heard, or had the time to be."""
-        if self._state.clock.now() - self._started_at >= _START_HOLD:
+        if self._holders.settled:
             return True
-        return all(self._holder(vm.name) is not None for vm in members)
+        return all(self._holders.current(vm.name) is not None for vm in members)
 
     def _replica(self, shard: ShardId) -> ShardReplica:
         held = self._replicas.get(shard)
--- /dev/null
+++ b/packages/daemon/src/carawayquayd/holders.py
@@ -0,0 +1,93 @@
+"""Which holders of claim shards live, are leaving or are lost, as one daemon sees it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from carawayquay.claim_maps import Holder
+from carawayquay.heartbeats import ALIVE_FOR
+from carawayquay.membership import VMState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from carawayquay.claim_messages import HolderAnswer
+    from carawayquay.membership import EntryVM
+    from carawayquayd.state import NodeState
+
+__all__ = ["START_HOLD", "HolderView"]
+
+#: Time for which a holder must have been out of reach before its shards are taken.
+_LOST_HOLD = timedelta(seconds=1)
+
+#: Time after its start in which a process may not have heard every other one.
+START_HOLD = ALIVE_FOR + _LOST_HOLD
+
+
+class HolderView:
+    """The holders that VMs are now, by heartbeats and by answers to questions.
+
+    :param me: this process as a holder
+    """
+
+    def __init__(self, state: NodeState, me: Holder) -> None:
+        self._state = state
+        self._me = me
+        self._answers: dict[str, tuple[HolderAnswer, timedelta]] = {}
+        self._missing: dict[Holder, timedelta] = {}
+        self._started_at = state.clock.now()
+
+    @property
+    def settled(self) -> bool:
+        """Whether every live VM had the time to be heard since this process started."""
+        return self._state.clock.now() - self._started_at >= START_HOLD
+
+    def current(self, vm: str) -> Holder | None:
+        """Return the holder that a VM now is if it was heard lately, or None."""
+        if vm == self._me.vm:
+            return self._me
+        peers = self._state.peers
+        if not peers.alive(vm, self._state.clock.now()):
+            return None
+        heartbeat, heard_at = peers.last(vm), peers.heard_at(vm)
+        answered = self._answers.get(vm)
+        if answered is not None and (heard_at is None or heard_at < answered[1]):
+            return Holder(vm, answered[0].incarnation)
+        return None if heartbeat is None else Holder(vm, heartbeat.incarnation)
+
+    def leaving(self, vm: EntryVM) -> bool:
+        """Return whether a VM has said that its planned stop has begun."""
+        if vm.name == self._me.vm:
+            return self._state.stopping
+        heartbeat = self._state.peers.last(vm.name)
+        answered = self._answers.get(vm.name)
+        return (
+            vm.state is VMState.LEAVING
+            or (heartbeat is not None and heartbeat.leaving)
+            or (answered is not None and answered[0].leaving)
+        )
+
+    def live(self, vms: Iterable[EntryVM]) -> tuple[Holder, ...]:
+        """Return the holders that some VMs are now, without those that leave."""
+        found = (self.current(vm.name) for vm in vms if not self.leaving(vm))
+        return tuple(holder for holder in found if holder is not None)
+
+    def lost(self, holder: Holder) -> bool:
+        """Return whether a holder is gone, or has been out of reach for long enough."""
+        current = self.current(holder.vm)
+        if current is not None:
+            self._missing.pop(holder, None)
+            return current != holder
+        now = self._state.clock.now()
+        missing_since = self._missing.setdefault(holder, now)
+        return self.settled and now - missing_since >= _LOST_HOLD
+
+    def record(self, answer: HolderAnswer, asked_at: timedelta) -> None:
+        """Take a VM's answer to a question that was asked at an instant."""
+        self._answers[answer.vm] = (answer, asked_at)
+        self._state.peers.record_answer(answer.vm, answer.leaving, asked_at)
+
+    def forget_missing(self) -> None:
+        """Forget since when holders are out of reach, as after a pause of this process."""
+        self._missing.clear()
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -123,6 +123,16 @@
     assert connections == 2
 
 
+def test_connection_that_a_target_says_it_will_close_carries_no_further_request():
+    async def two_requests():
+        it = await ScriptedTarget(answer_bytes(connection="close")).start()
+        forwarder, _ = new_forwarder([("t0", target(it.address))])
+        answers = [await forwarder.handle(request()) for _ in range(2)]
+        return [answer.status for answer in answers], it.connections
+
+    assert run(two_requests) == ([200, 200], 2)
+
+
 def test_final_answer_comes_at_the_routes_timeout():
     configured = configuration(route(timeout="200ms"))
     started = time.monotonic()
--- a/standins/src/carawayquay_standins/platform_store.py
+++ b/standins/src/carawayquay_standins/platform_store.py
@@ -27,7 +27,6 @@
     :param refuse_status: answer every call with this status, where it is not 0
     :param delay_seconds: time by which each answer is late
     :param lose_writes: apply so many writes and close without an answer
-    :param deaf_to: callers' IP addresses that get status 503
     """
 
     down: bool = False
@@ -35,7 +34,6 @@
     refuse_status: int = 0
     delay_seconds: float = 0.0
     lose_writes: int = 0
-    deaf_to: set[str] = attrs.field(factory=set)
 
 
 class PlatformStoreStandIn:
@@ -101,8 +99,6 @@
             return None
         if faults.refuse_status:
             return HttpResponse(faults.refuse_status)
-        if request.peer in faults.deaf_to:
-            return HttpResponse(503)
         if faults.delay_seconds:
             await curio.sleep(faults.delay_seconds)
         answer = await self._answer(request)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -55,14 +55,12 @@
             (
                 (b"Server-Load", b"3,1,8"),
                 (b"Not-Executed", b"1"),
-                (b"Connection", b"close"),
                 (b"Keep-Alive", b"timeout=5, max=9"),
             ),
         )
     )
     assert answer.load == TargetLoad(3, 1, 8)
     assert answer.not_run
-    assert answer.closing
     assert answer.idle_life == timedelta(seconds=5)
     assert not answer.other_target
 
