Rest connections shorter after one broke when it was used again

Cause: a target may drop idle connections unannounced and sooner than it states; the next request on such a connection is reset. One that is not idempotent may have run then and gets 502. Each VM meets each target seldom, so it would pay that price once for each target.

Change: after a used connection breaks, connections to targets of the same service are used again for ten seconds only if they rested for less than 0.2 s (idle_lives.py, which takes the stated life too).

Test: the third booking's connection carried the fourth one before; now it does not.

--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -7,6 +7,7 @@
 from carawayquay.cold_rates import ColdRates, ColdRights
 from carawayquay.discovery import TargetRegistry
 from carawayquay.entry_peers import EntryPeers
+from carawayquay.idle_lives import IdleLives
 from carawayquay.kept_share import RegionLoad
 from carawayquay.load_reports import short_hash
 from carawayquay.target_stats import TargetStats
@@ -55,6 +56,7 @@
         self.evacuated: set[str] = set()
         self.peers = EntryPeers(identity)
         self.cold_rates = ColdRates()
+        self.idle_lives = IdleLives()
         self._cold_rights = ColdRights(settings.cold_over, settings.cold_slack)
         self._services: dict[str, ServiceState] = {}
         self._stats: dict[str, TargetStats] = {}
@@ -124,6 +126,7 @@
     def forget_target(self, name: str) -> None:
         """Drop what was measured of a target that is gone, unless a request is still there."""
         self.cold_rates.forget(name)
+        self.idle_lives.forget(name)
         stats = self._stats.get(name)
         if stats is not None and stats.running == 0:
             del self._stats[name]
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -25,10 +25,6 @@
 
 _log = EventLog("targets")
 
-#: An idle connection to a target is not used longer than this part of the time that it states.
-_IDLE_PART = 0.6
-_MAX_IDLE = timedelta(seconds=4)
-
 #: How long a target that another one replaced at its address is left alone.
 _MISPLACED_FOR = timedelta(seconds=5)
 
@@ -78,7 +74,6 @@
         self._crashes = crashes
         self._round_trips = round_trips
         self._domains: dict[Address, str] = {}
-        self._idle_lives: dict[str, timedelta] = {}
         self._http = HttpClient(_MAX_ANSWER_BYTES, state.clock, self._note_dialled, _DIAL_SECONDS)
 
     async def call(
@@ -99,14 +94,13 @@
                 target.address,
                 request,
                 left.total_seconds(),
-                max_idle=self._idle_lives.get(target.name, _MAX_IDLE),
+                max_idle=self._state.idle_lives.longest(target.name, target.service, started),
                 belongs=headers.answer_belongs,
             )
         except HttpError as failure:
             unanswered = Unanswered(failure.sent, failure.timed_out)
-            if failure.timed_out and not failure.fresh:
-                # What made this connection silent may have silenced the idle ones too.
-                await self._http.drop_idle(target.address)
+            if not failure.fresh:
+                await self._note_used_broken(target, unanswered)
             await self._note_unanswered(target, unanswered, fingerprint)
             return unanswered
         finally:
@@ -120,13 +114,21 @@
         now = self._state.clock.now()
         stats = self._state.stats(target.name)
         if answer.idle_life is not None:
-            self._idle_lives[target.name] = answer.idle_life * _IDLE_PART
+            self._state.idle_lives.state(target.name, answer.idle_life)
         if answer.load is not None:
             stats.report_load(answer.load.running + answer.load.waiting, now)
         if answer.other_target:
             stats.ejected_until = now + _MISPLACED_FOR
             await self._http.drop_idle(target.address)
 
+    async def _note_used_broken(self, target: RegisteredTarget, unanswered: Unanswered) -> None:
+        """Take that a connection that had been used before gave no whole answer."""
+        if unanswered.timed_out:
+            # What made this connection silent may have silenced the idle ones too.
+            await self._http.drop_idle(target.address)
+        else:
+            self._state.idle_lives.broke(target.service, self._state.clock.now())
+
     async def _note_unanswered(
         self, target: RegisteredTarget, unanswered: Unanswered, fingerprint: int
     ) -> None:
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -133,6 +133,21 @@
     assert run(two_requests) == ([200, 200], 2)
 
 
+def test_connection_that_broke_when_used_again_spares_later_requests_the_same():
+    async def bookings():
+        forgetful = [answer_bytes(), None, answer_bytes(), answer_bytes()]
+        it = await ScriptedTarget(*forgetful).start()
+        forwarder, _ = new_forwarder([("t0", target(it.address))], BOOKING)
+        statuses = []
+        for _ in range(4):
+            statuses.append((await forwarder.handle(request())).status)
+            await curio.sleep(0.25)
+        return statuses, it.connections
+
+    # One connection asks whether the target lives; the last request does not use the third one.
+    assert run(bookings) == ([200, 502, 200, 200], 4)
+
+
 def test_final_answer_comes_at_the_routes_timeout():
     configured = configuration(route(timeout="200ms"))
     started = time.monotonic()
