--- a/packages/core/src/carawayquay/directory.py
+++ b/packages/core/src/carawayquay/directory.py
@@ -34,6 +34,11 @@
         """Return the list of a failure domain, empty at version 0 if there is none."""
         return self._lists.get(name) or DomainList(name, 0)
 
+    def region(self, domain: str) -> str:
+        """Return the region of a failure domain, empty if no VM of it is known."""
+        members = self.domain(domain).members
+        return members[0].region if members else ""
+
     def live(self, domain: str) -> tuple[EntryVM, ...]:
         """Return the VMs of a failure domain that the platform calls live."""
         members = self.domain(domain).members
--- a/packages/core/src/carawayquay/lookup.py
+++ b/packages/core/src/carawayquay/lookup.py
@@ -56,7 +56,7 @@
     rank = {name: index for index, name in enumerate((region, *others))}
 
     def closeness(name: str) -> tuple[bool, int, str]:
-        return (name != domain, rank.get(_region(directory, name), len(rank)), name)
+        return (name != domain, rank.get(directory.region(name), len(rank)), name)
 
     return tuple(sorted(directory.domains, key=closeness))
 
@@ -98,7 +98,7 @@
     """
     domain = home.domain
     if not domain:
-        near = [name for name in directory.domains if _region(directory, name) == home.region]
+        near = [name for name in directory.domains if directory.region(name) == home.region]
         domain = near[spread % len(near)] if near else ""
     return domain_order(directory, home.region, domain, others)
 
@@ -120,9 +120,3 @@
         if len(entries) >= MAX_ENTRIES:
             break
     return tuple(entries[:MAX_ENTRIES])
-
-
-def _region(directory: Directory, domain: str) -> str:
-    """Return the region of a failure domain, or empty if no VM of it is listed."""
-    members = directory.domain(domain).members
-    return members[0].region if members else ""
--- a/packages/daemon/src/carawayquayd/admission.py
+++ b/packages/daemon/src/carawayquayd/admission.py
@@ -117,8 +117,7 @@
     def _may_offer(self, document: Document, domain: str) -> bool:
         """Return whether a failure domain may be given slots at all."""
         region = self._state.settings.region
-        members = self._state.directory.domain(domain).members
-        same_region = bool(members) and members[0].region == region
+        same_region = self._state.directory.region(domain) == region
         return not self._state.stopping and (same_region or document.accepts(region))
 
     def _offered(self, document: Document) -> int:
--- a/packages/daemon/src/carawayquayd/claim_shards.py
+++ b/packages/daemon/src/carawayquayd/claim_shards.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from carawayquay.claim_keys import ShardId, mint_key
+from carawayquay.claim_keys import ShardId
 from carawayquay.claim_maps import Holder, MapPlanner, ShardMap, ShardMaps, parse_shard_map
 from carawayquay.claim_messages import (
     AssignmentEntry,
@@ -24,6 +24,7 @@
 from carawayquay.heartbeats import INTERVAL
 from carawayquay_wire.events import Event, EventLog
 from carawayquayd.holders import START_HOLD, HolderView
+from carawayquayd.key_mint import KeyMint
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,9 +46,6 @@
 #: A process that ticks so late was paused, and knows nothing of who was lost meanwhile.
 _PAUSE = timedelta(milliseconds=800)
 
-#: Time for which look-ups mint keys of the shards that were found to serve.
-_MINTABLE_FOR = timedelta(milliseconds=100)
-
 _WATCH_WAIT = timedelta(seconds=2)
 _RETRY_SECONDS = 0.5
 _CALL_TIMEOUT = timedelta(milliseconds=500)
@@ -70,8 +68,7 @@
         self._changes = itertools.count(1)
         self._ticked_at = state.clock.now()
         self._confirmed_at: timedelta | None = None
-        self._mintable: list[tuple[ShardId, int]] = []
-        self._mintable_until = timedelta()
+        self._mint = KeyMint(state, self._maps, self._holders)
 
     @property
     def me(self) -> Holder:
@@ -102,29 +99,7 @@
 
     def mint_key(self) -> str | None:
         """Return a new key of a shard that can serve it now, or None if none is known."""
-        now = self._state.clock.now()
-        if now >= self._mintable_until:
-            self._mintable = self._find_mintable()
-            self._mintable_until = now + _MINTABLE_FOR
-        while self._mintable:
-            shard, epoch = found = secrets.choice(self._mintable)
-            assignment = self._maps.get(shard.domain).shards[shard.number]
-            if assignment.epoch == epoch and self._serving(shard.domain, assignment):
-                return mint_key(shard, epoch)
-            self._mintable.remove(found)
-        return None
-
-    def _find_mintable(self) -> list[tuple[ShardId, int]]:
-        """Return the shards of the nearest failure domain that serve now, with their epochs."""
-        for domain in sorted(self._state.directory.domains, key=self._distance):
-            shards = [
-                (ShardId(domain, number), assignment.epoch)
-                for number, assignment in enumerate(self._maps.get(domain).shards)
-                if self._serving(domain, assignment)
-            ]
-            if shards:
-                return shards
-        return []
+        return self._mint.mint()
 
     def dump(self) -> dict[str, Any]:
         """Return the maps and the shards held here, as JSON takes it."""
@@ -246,13 +221,6 @@
         elif was_primary and not replica.is_primary:
             _log.info(Event.SHARD_SEALED, shard=shard, epoch=assignment.epoch)
 
-    def _serving(self, domain: str, assignment: Assignment) -> bool:
-        """Return whether both holders of a shard seem to live; those far away are not known."""
-        if domain != self._state.settings.domain:
-            return assignment.backup is not None
-        holders = (assignment.primary, assignment.backup)
-        return all(holder and self._holders.current(holder.vm) == holder for holder in holders)
-
     def _candidates(self, domain: str) -> list[EntryVM]:
         members = self._state.directory.domain(domain).members
         return [vm for vm in (*members, *self._neighbours(domain)) if vm.name != self._me.vm]
@@ -260,22 +228,14 @@
     def _neighbours(self, domain: str) -> list[EntryVM]:
         """Return the VMs of the other failure domains of a failure domain's region."""
         directory = self._state.directory
-        region = self._region(domain)
+        region = directory.region(domain)
         return [
             vm
             for listed in directory
-            if listed.domain != domain and self._region(listed.domain) == region
+            if listed.domain != domain and directory.region(listed.domain) == region
             for vm in listed.members
         ]
 
-    def _region(self, domain: str) -> str:
-        members = self._state.directory.domain(domain).members
-        return members[0].region if members else ""
-
-    def _distance(self, domain: str) -> tuple[bool, bool, str]:
-        settings = self._state.settings
-        return (domain != settings.domain, self._region(domain) != settings.region, domain)
-
     async def _probe(self) -> None:
         while True:
             for vm in self._to_probe():
--- /dev/null
+++ b/packages/daemon/src/carawayquayd/key_mint.py
@@ -0,0 +1,68 @@
+"""Mints idempotency keys of claim shards that can serve them now."""
+
+from __future__ import annotations
+
+import secrets
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from carawayquay.claim_keys import ShardId, mint_key
+
+if TYPE_CHECKING:
+    from carawayquay.claim_maps import Assignment, ShardMaps
+    from carawayquayd.holders import HolderView
+    from carawayquayd.state import NodeState
+
+__all__ = ["KeyMint"]
+
+#: Time for which keys are minted of the shards that were found to serve.
+_MINTABLE_FOR = timedelta(milliseconds=100)
+
+
+class KeyMint:
+    """Mints keys of the nearest failure domain whose shards serve."""
+
+    def __init__(self, state: NodeState, maps: ShardMaps, holders: HolderView) -> None:
+        self._state = state
+        self._maps = maps
+        self._holders = holders
+        self._mintable: list[tuple[ShardId, int]] = []
+        self._mintable_until = timedelta()
+
+    def mint(self) -> str | None:
+        """Return a new key of a shard that can serve it now, or None if none is known."""
+        now = self._state.clock.now()
+        if now >= self._mintable_until:
+            self._mintable = self._find_mintable()
+            self._mintable_until = now + _MINTABLE_FOR
+        while self._mintable:
+            shard, epoch = found = secrets.choice(self._mintable)
+            assignment = self._maps.get(shard.domain).shards[shard.number]
+            if assignment.epoch == epoch and self._serving(shard.domain, assignment):
+                return mint_key(shard, epoch)
+            self._mintable.remove(found)
+        return None
+
+    def _find_mintable(self) -> list[tuple[ShardId, int]]:
+        """Return the shards of the nearest failure domain that serve now, with their epochs."""
+        for domain in sorted(self._state.directory.domains, key=self._distance):
+            shards = [
+                (ShardId(domain, number), assignment.epoch)
+                for number, assignment in enumerate(self._maps.get(domain).shards)
+                if self._serving(domain, assignment)
+            ]
+            if shards:
+                return shards
+        return []
+
+    def _serving(self, domain: str, assignment: Assignment) -> bool:
+        """Return whether both holders of a shard seem to live; those far away are not known."""
+        if domain != self._state.settings.domain:
+            return assignment.backup is not None
+        holders = (assignment.primary, assignment.backup)
+        return all(holder and self._holders.current(holder.vm) == holder for holder in holders)
+
+    def _distance(self, domain: str) -> tuple[bool, bool, str]:
+        settings = self._state.settings
+        region = self._state.directory.region(domain)
+        return (domain != settings.domain, region != settings.region, domain)
