--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -4,6 +4,7 @@
 
 import socket
 from contextlib import suppress
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import curio
@@ -38,8 +39,10 @@
 _MEMBERS_TURNS = 7
 _MEMBERS_IN_REPORT = 3
 
-#: VMs that the first report to a VM names.
-_MEMBERS_IN_FIRST_REPORT = 16
+#: The first report to a VM names more of them, and so does every one of a VM that just started,
+#: since a whole fleet may start at once and know no more than seeds.
+_MEMBERS_AT_START = 16
+_START = timedelta(seconds=10)
 
 #: Datagrams that one VM sends in a second at the most, however many VMs there are.
 _MAX_DATAGRAMS_PER_SECOND = 150
@@ -62,6 +65,7 @@
         self._turn = 0
         self._live: set[str] = set()
         self._told: set[VMIdentity] = set()
+        self._started_at = state.clock.now()
         self._raw_sock: Any = None
         self._sock: Any = None
 
@@ -129,14 +133,20 @@
             self._note_lost()
             new_hosts = self._new_hosts()
             hosts = self._next_hosts()
-            await self._send_to(new_hosts, _MEMBERS_IN_FIRST_REPORT)
-            await self._send_to(hosts, 0 if self._turn % _MEMBERS_TURNS else _MEMBERS_IN_REPORT)
+            await self._send_to(new_hosts, _MEMBERS_AT_START)
+            await self._send_to(hosts, self._members_now())
             await curio.sleep(self._interval(len(new_hosts) + len(hosts)))
             self._turn += 1
 
     def _interval(self, datagrams: int) -> float:
         return max(_TURN_SECONDS, datagrams / _MAX_DATAGRAMS_PER_SECOND)
 
+    def _members_now(self) -> int:
+        """Return the number of VMs that the reports of this turn name."""
+        if self._state.clock.now() - self._started_at < _START:
+            return _MEMBERS_AT_START
+        return 0 if self._turn % _MEMBERS_TURNS else _MEMBERS_IN_REPORT
+
     def _new_hosts(self) -> list[str]:
         """Return the VMs that have not been told anything yet, which is done at once."""
         known = {peer.identity for peer in self._state.peers}
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -4,6 +4,7 @@
 
 import attrs
 import curio
+import pytest
 from curio.network import tcp_server_socket
 from gateway_builders import identity, new_state, run
 
@@ -38,9 +39,9 @@
 
 
 def _vm(index, port, seed):
-    domain = _DOMAINS[index]
+    domain = _DOMAINS[index % len(_DOMAINS)]
     host = f"127.0.8.{index + 1}"
-    vm = identity(f"{domain}-1", host, domain, _REGIONS[domain])
+    vm = identity(f"{domain}-{index}", host, domain, _REGIONS[domain])
     state = new_state(clock=MonotonicClock(), vm=vm)
     state.settings = attrs.evolve(
         state.settings,
@@ -54,13 +55,13 @@
     return _VM(state, crashes, warm, PeerExchange(state, crashes, warm))
 
 
-async def _started():
-    """Return three running VMs, each of which knows the first one only."""
+async def _started(count=3):
+    """Return running VMs of three domains, each of which knows the first one only."""
     port = _free_port()
-    vms = [_vm(index, port, "127.0.8.1") for index in range(3)]
+    vms = [_vm(index, port, "127.0.8.1") for index in range(count)]
     for vm in vms:
         await curio.spawn(vm.exchange.run, daemon=True)
-    await _until(lambda: all(len(vm.state.peers.live(_now(vm))) == 2 for vm in vms))
+    await _until(lambda: all(len(vm.state.peers.live(_now(vm))) == count - 1 for vm in vms))
     return vms
 
 
@@ -73,8 +74,9 @@
         await curio.sleep(0.02)
 
 
-def test_vms_that_know_one_seed_find_each_other_within_a_few_turns():
-    vms = run(_started)
+@pytest.mark.parametrize("count", [3, 18])
+def test_vms_that_know_one_seed_find_each_other_within_a_few_turns(count):
+    vms = run(_started, count)
     assert max(vm.exchange.turn for vm in vms) <= _FEW_TURNS
 
 
