Choose among few targets without looking at all; find an unconfirmed entry at a planned stop

Change: the registry keeps pools of ready targets by domain, region and outside a region, and a pool keeps each object's order; usability is asked of the first ones only. Warm objects have an index by object. The choice is the same as before: filtering does not change a rendezvous order (test_target_pools.py).

The stop now looks for an entry of its own start whose write was not confirmed. Two tests, the first failed before.

--- a/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -9,8 +9,10 @@
 from carawayquay.entry_peers import EntryPeers
 from carawayquay.load_reports import LoadReport, TargetCount, VMIdentity, WarmObject
 from carawayquay.membership import Address
-from carawayquay.placement import Candidate, WorkTimes, cheapest, ranked_first
+from carawayquay.placement import Candidate, WorkTimes, cheapest
+from carawayquay.target_pools import TargetPool
 from carawayquay.target_stats import TargetStats
+from carawayquay.warm_objects import WarmObjects
 from carawayquay_benchmarks.regression import Slope, bytes_slope, cpu_slope, memory_slope
 from carawayquay_platform.configuration import parse_configuration
 from carawayquay_wire.reports import decode_report, encode_report
@@ -24,6 +26,9 @@
 _TARGETS = (12, 50, 150, 600)
 _VMS = (20, 143, 500, 2000)
 _REPEATS = 100
+
+#: Targets that are considered for one object.
+_CONSIDERED = 2
 _NOW = timedelta(seconds=10)
 _OWN = VMIdentity("edge-0", "10.0.0.1", "puget-a", "puget", 1)
 
@@ -50,7 +55,7 @@
     """Measure the choice among targets by their number."""
     return [
         cpu_slope("100 choices of a target, by targets", _TARGETS, _choice_work),
-        memory_slope("targets with 100 warm objects each, by targets", _TARGETS, _stats),
+        memory_slope("targets with 100 warm objects each, by targets", _TARGETS, _warm_objects),
     ]
 
 
@@ -144,30 +149,28 @@
 
 def _choice_work(targets: int) -> Callable[[], Any]:
     registered = _registered(targets)
+    pool = TargetPool(tuple(registered))
     stats = {target.name: TargetStats() for target in registered}
-    names = tuple(stats)
     times = WorkTimes(0.08, 0.26, 0.1)
 
     def choose() -> None:
         for index in range(_REPEATS):
-            home = ranked_first(f"k{index}", names, 1)[0]
+            order = pool.first(f"k{index}", lambda _: True, _CONSIDERED)
             candidates = [
-                Candidate(target, stats[target.name], 3, target.name == home, 0.001)
-                for target in registered
+                Candidate(target, stats[target.name], 3, target is order[0], 0.001)
+                for target in order
             ]
             cheapest(candidates, times, lambda _: 0.1)
 
     return choose
 
 
-def _stats(targets: int) -> list[TargetStats]:
-    found = []
-    for _ in range(targets):
-        stats = TargetStats()
+def _warm_objects(targets: int) -> WarmObjects:
+    warm = WarmObjects()
+    for index in range(targets):
         for key in range(100):
-            stats.note_warm(key * 104729)
-        found.append(stats)
-    return found
+            warm.note(f"i-{index:08x}", (index * 31 + key) * 104729)
+    return warm
 
 
 if __name__ == "__main__":
--- a/packages/core/src/carawayquay/discovery.py
+++ b/packages/core/src/carawayquay/discovery.py
@@ -8,8 +8,10 @@
 
 import attrs
 
+from carawayquay.target_pools import TargetPool
+
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from carawayquay.membership import Address
 
@@ -63,6 +65,7 @@
         self._targets: dict[str, RegisteredTarget] = {}
         self._cold_until: dict[str, timedelta] = {}
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
+        self._pools: dict[tuple[str, str, str], TargetPool] = {}
         self._changes = 0
 
     def __len__(self) -> int:
@@ -91,6 +94,27 @@
             )
         return found
 
+    def in_domain(self, service: str, domain: str) -> TargetPool:
+        """Return the ready targets of a service in a failure domain."""
+        return self._pool(service, "domain", domain, lambda target: target.domain == domain)
+
+    def in_region(self, service: str, region: str) -> TargetPool:
+        """Return the ready targets of a service in a region."""
+        return self._pool(service, "region", region, lambda target: target.region == region)
+
+    def outside_region(self, service: str, region: str) -> TargetPool:
+        """Return the ready targets of a service in all other regions."""
+        return self._pool(service, "outside", region, lambda target: target.region != region)
+
+    def _pool(
+        self, service: str, part: str, name: str, holds: Callable[[RegisteredTarget], bool]
+    ) -> TargetPool:
+        found = self._pools.get((service, part, name))
+        if found is None:
+            targets = tuple(target for target in self.ready(service) if holds(target))
+            found = self._pools[(service, part, name)] = TargetPool(targets)
+        return found
+
     def cold(self, name: str, now: timedelta) -> bool:
         """Return whether a target is cold."""
         until = self._cold_until.get(name)
@@ -124,6 +148,7 @@
 
     def _note_change(self) -> None:
         self._by_service.clear()
+        self._pools.clear()
         self._changes += 1
 
 
--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -10,9 +10,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from carawayquay.load_reports import LoadReport, VMIdentity
+    from carawayquay.load_reports import LoadReport, ServiceRate, VMIdentity
 
-__all__ = ["EntryPeers", "Peer"]
+__all__ = ["EntryPeers", "Peer", "RegionRates"]
 
 #: Silence after which a VM is not named to callers any more: several reports that did not come.
 #: VMs of the own failure domain report most often, those of other regions least.
@@ -47,6 +47,28 @@
         return self.heard is not None and now - self.heard < self.silence
 
 
+class RegionRates:
+    """Requests/s by region and service, the services by their short hashes."""
+
+    def __init__(self) -> None:
+        self._rates: dict[tuple[str, int], float] = {}
+        self._totals: dict[int, float] = {}
+
+    def add(self, region: str, rate: ServiceRate) -> None:
+        """Add what one VM of a region takes."""
+        key = (region, rate.service)
+        self._rates[key] = self._rates.get(key, 0.0) + rate.rate
+        self._totals[rate.service] = self._totals.get(rate.service, 0.0) + rate.rate
+
+    def of(self, region: str, service: int) -> float:
+        """Return the requests/s for a service in a region."""
+        return self._rates.get((region, service), 0.0)
+
+    def total(self, service: int) -> float:
+        """Return the requests/s for a service in all regions."""
+        return self._totals.get(service, 0.0)
+
+
 class EntryPeers:
     """The entry VMs that this one knows, and the sums over their reports."""
 
@@ -81,15 +103,14 @@
         """Return the requests that the other VMs have in flight at a target."""
         return self._running.get(target, 0)
 
-    def rate(self, service: int, region: str | None, now: timedelta) -> float:
-        """Return the requests/s for a service that the other VMs of a region, or all, take."""
-        total = 0.0
+    def rates(self, now: timedelta) -> RegionRates:
+        """Return the requests/s that the other VMs take, by region and service."""
+        found = RegionRates()
         for peer in self._peers.values():
-            if region is not None and peer.identity.region != region:
-                continue
             if peer.report is not None and peer.live(now):
-                total += sum(rate.rate for rate in peer.report.rates if rate.service == service)
-        return total
+                for rate in peer.report.rates:
+                    found.add(peer.identity.region, rate)
+        return found
 
     def learn(self, identity: VMIdentity, now: timedelta) -> None:
         """Take that another VM exists, by hearsay."""
--- a/packages/core/src/carawayquay/placement.py
+++ b/packages/core/src/carawayquay/placement.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from carawayquay.rendezvous import ranked, score
+from carawayquay.rendezvous import score
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -22,7 +22,6 @@
     "WorkTimes",
     "cheapest",
     "key_position",
-    "ranked_first",
 ]
 
 #: Seconds that a failure costs its caller, beside a failure rate of one.
@@ -37,12 +36,6 @@
     return score(service, key) / _HASH_SPAN
 
 
-@lru_cache(maxsize=8192)
-def ranked_first(key: str, names: tuple[str, ...], count: int) -> tuple[str, ...]:
-    """Return the targets that an object prefers, the same in every process."""
-    return ranked(key, names)[:count]
-
-
 @attrs.frozen
 class WorkTimes:
     """Seconds that a request takes at a target that is warm or cold for its object.
--- a/packages/core/src/carawayquay/target_stats.py
+++ b/packages/core/src/carawayquay/target_stats.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from datetime import timedelta
 
 import attrs
@@ -19,8 +18,6 @@
 #: How many times slower a target handles an object that it has not handled lately, at first.
 _COLD_FACTOR = 3.3
 
-_WARM_KEYS = 128
-
 #: How long what a target said of its load is better known than the counts of other VMs.
 _LOAD_LIFE = timedelta(milliseconds=250)
 _MAX_SLOWNESS = 30.0
@@ -99,20 +96,6 @@
     updated: timedelta = timedelta()
     _others: int = 0
     _others_until: timedelta = timedelta()
-    _warm_keys: OrderedDict[int, None] = attrs.field(factory=OrderedDict)
-
-    def warm(self, key: int) -> bool:
-        """Return whether the target handled an object lately, by the object's short hash."""
-        return key in self._warm_keys
-
-    def note_warm(self, key: int) -> bool:
-        """Take that the target handled an object; return whether that is news."""
-        news = key not in self._warm_keys
-        self._warm_keys[key] = None
-        self._warm_keys.move_to_end(key)
-        if len(self._warm_keys) > _WARM_KEYS:
-            self._warm_keys.popitem(last=False)
-        return news
 
     def report_load(self, requests: int, now: timedelta) -> None:
         """Take how many requests the target says that it has, from all VMs."""
@@ -164,8 +147,7 @@
             self.ejected_until = now + _EJECT_FOR
 
     def restarted(self) -> None:
-        """Forget what a former incarnation was warm for."""
-        self._warm_keys.clear()
+        """Forget what was learned of a former incarnation."""
         self.slowness = 1.0
         self.failure_rate = 0.0
         self.failures_in_row = 0
--- a/packages/core/tests/test_entry_peers.py
+++ b/packages/core/tests/test_entry_peers.py
@@ -49,7 +49,7 @@
     peers.expire(later)
     assert peers.live(later) == []
     assert peers.running(7) == 0
-    assert peers.rate(1, None, later) == 0.0
+    assert peers.rates(later).total(1) == 0.0
 
 
 def test_leaving_vm_is_not_live():
@@ -71,8 +71,8 @@
     third = VMIdentity("b-1", "10.0.0.3", "b", "east", 1)
     peers.receive(_report(rates=(ServiceRate(1, 9.0),)), NOW)
     peers.receive(_report(1, third, rates=(ServiceRate(1, 4.0), ServiceRate(2, 1.0))), NOW)
-    assert peers.rate(1, "west", NOW) == 9.0
-    assert peers.rate(1, None, NOW) == 13.0
+    assert peers.rates(NOW).of("west", 1) == 9.0
+    assert peers.rates(NOW).total(1) == 13.0
 
 
 def test_vm_whose_clock_went_back_is_believed_once_its_earlier_start_is_silent():
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -6,7 +6,7 @@
 
 from carawayquay.discovery import RegisteredTarget, TargetState
 from carawayquay.membership import Address
-from carawayquay.placement import Candidate, Placed, Refused, WorkTimes, cheapest, ranked_first
+from carawayquay.placement import Candidate, Placed, Refused, WorkTimes, cheapest
 from carawayquay.target_stats import TargetStats
 
 TIMES = WorkTimes(warm=0.08, cold=0.26, mean=0.08)
@@ -61,14 +61,5 @@
     assert abs(chosen.wait - 0.08 * 5 / 4) < 1e-9
 
 
-def test_loss_of_a_target_moves_only_its_own_objects():
-    names = tuple(f"t{index}" for index in range(12))
-    fewer = names[:-1]
-    for index in range(200):
-        before = ranked_first(f"k{index}", names, 1)
-        if before != names[-1:]:
-            assert ranked_first(f"k{index}", fewer, 1) == before
-
-
 def test_free_slot_is_used_though_the_work_is_expected_to_take_too_long():
     assert _choose(_candidate("slow", slowness=20.0), most_wait=-1.0).target.name == "slow"
--- /dev/null
+++ b/packages/core/tests/test_target_pools.py
@@ -0,0 +1,59 @@
+"""Objects prefer targets in one order everywhere, and losing a target moves only its objects."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawayquay.discovery import RegisteredTarget, TargetState
+from carawayquay.membership import Address
+from carawayquay.rendezvous import ranked
+from carawayquay.target_pools import TargetPool
+
+
+def _targets(count):
+    return tuple(
+        RegisteredTarget(
+            name=f"t{index}",
+            service="granite",
+            address=Address("10.0.0.1", 80 + index),
+            domain="puget-a",
+            region="puget",
+            slots=4,
+            state=TargetState.READY,
+            cold_for=timedelta(),
+            incarnation=1,
+        )
+        for index in range(count)
+    )
+
+
+def _first(pool, key, usable=lambda _: True, count=1):
+    return [target.name for target in pool.first(key, usable, count)]
+
+
+def test_loss_of_a_target_moves_only_its_own_objects():
+    targets = _targets(12)
+    whole, fewer = TargetPool(targets), TargetPool(targets[:-1])
+    for index in range(200):
+        before = _first(whole, f"k{index}")
+        if before != ["t11"]:
+            assert _first(fewer, f"k{index}") == before
+
+
+@given(
+    count=st.integers(0, 20),
+    wanted=st.integers(1, 4),
+    unusable=st.sets(st.integers(0, 19)),
+    key=st.text(max_size=5),
+)
+def test_first_are_those_of_the_whole_order_that_are_usable(count, wanted, unusable, key):
+    targets = _targets(count)
+    names = {f"t{index}" for index in unusable}
+    expected = ranked(key, [target.name for target in targets if target.name not in names])
+    pool = TargetPool(targets)
+    for _ in range(2):
+        found = _first(pool, key, lambda target: target.name not in names, wanted)
+        assert found == list(expected[:wanted])
--- a/packages/core/tests/test_target_stats.py
+++ b/packages/core/tests/test_target_stats.py
@@ -38,22 +38,9 @@
     assert stats.slowness < 1.5
 
 
-def test_oldest_objects_are_forgotten_first():
-    stats = TargetStats()
-    assert stats.note_warm(0)
-    for key in range(1, 128):
-        stats.note_warm(key)
-    assert not stats.note_warm(0)
-    stats.note_warm(500)
-    assert stats.warm(0)
-    assert not stats.warm(1)
-
-
-def test_restart_makes_a_target_cold_for_all():
+def test_restart_clears_what_was_learned():
     stats = TargetStats(slowness=9.0, failure_rate=0.5)
-    stats.note_warm(7)
     stats.restarted()
-    assert not stats.warm(7)
     assert (stats.slowness, stats.failure_rate) == (1.0, 0.0)
 
 
--- /dev/null
+++ b/packages/core/tests/test_warm_objects.py
@@ -0,0 +1,46 @@
+"""A target is warm for the objects that it handled last, until it starts anew."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawayquay.warm_objects import WarmObjects
+
+
+def test_oldest_objects_are_forgotten_first():
+    warm = WarmObjects()
+    assert warm.note("t0", 0)
+    for key in range(1, 128):
+        warm.note("t0", key)
+    assert not warm.note("t0", 0)
+    warm.note("t0", 500)
+    assert warm.warm("t0", 0)
+    assert not warm.warm("t0", 1)
+
+
+def test_target_that_started_anew_is_cold_for_all():
+    warm = WarmObjects()
+    warm.note("t0", 7)
+    warm.note("t1", 7)
+    warm.forget("t0")
+    assert not warm.warm("t0", 7)
+    assert set(warm.targets(7)) == {"t1"}
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["t0", "t1", "t2"]), st.integers(0, 300), st.booleans()),
+        max_size=400,
+    )
+)
+def test_both_directions_agree(steps):
+    warm = WarmObjects()
+    for target, key, forget in steps:
+        if forget and key % 50 == 0:
+            warm.forget(target)
+        else:
+            warm.note(target, key)
+    for key in range(301):
+        named = {target for target in ("t0", "t1", "t2") if warm.warm(target, key)}
+        assert named == set(warm.targets(key))
--- a/packages/gateway/src/carawayquay_gateway/adoption.py
+++ b/packages/gateway/src/carawayquay_gateway/adoption.py
@@ -85,6 +85,7 @@
         before = change.before
         if before is not None and before.incarnation != target.incarnation:
             self._state.stats(target.name).restarted()
+            self._state.warm_objects.forget(target.name)
         if before is None or before.state is not target.state or target.cold_for:
             _log.info(
                 Event.TARGET_FOUND,
--- a/packages/gateway/src/carawayquay_gateway/entry.py
+++ b/packages/gateway/src/carawayquay_gateway/entry.py
@@ -68,14 +68,23 @@
 
     async def remove(self) -> None:
         """Remove this VM's entry, at a planned stop."""
-        if self._revision is None:
-            return
         try:
-            name = self._state.identity.name
-            await self._store.delete(ObjectKind.ENTRY_VMS, name, self._revision)
+            revision = self._revision or await self._find_revision()
+            if revision is not None:
+                name = self._state.identity.name
+                await self._store.delete(ObjectKind.ENTRY_VMS, name, revision)
         except StoreError as error:
             _log.warning(Event.ENTRY_UNWRITTEN, reason=error)
 
+    async def _find_revision(self) -> int | None:
+        """Return the revision of an entry whose write was not confirmed, None if there is none.
+
+        :raises StoreError: if the store does not answer
+        """
+        stored = await self._store.get(ObjectKind.ENTRY_VMS, self._state.identity.name)
+        own = stored is not None and stored.value == entry_vm_spec(self._state.identity)
+        return stored.revision if own else None
+
     async def _write(self, entries: dict[str, StoredObject]) -> None:
         """Write the entry in place of the one that was found.
 
--- a/packages/gateway/src/carawayquay_gateway/observations.py
+++ b/packages/gateway/src/carawayquay_gateway/observations.py
@@ -32,8 +32,9 @@
         stats = self._state.stats(placed.target.name)
         stats.succeeded(now)
         key = short_hash(exchange.call.object_key)
-        known_warm = stats.warm(key)
-        if stats.note_warm(key):
+        news = self._state.warm_objects.note(placed.target.name, key)
+        known_warm = not news
+        if news:
             self._warm.add(short_hash(placed.target.name), key, now)
         times = self._state.service(exchange.service).times
         times.record_bytes(len(exchange.call.body) + len(answered.answer.body))
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -15,16 +15,16 @@
     WorkTimes,
     cheapest,
     key_position,
-    ranked_first,
 )
 from carawayquay.refusals import longest_wait
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
     from random import Random
 
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.routes import Route
+    from carawayquay.target_pools import TargetPool
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.state import GatewayState
 
@@ -90,68 +90,82 @@
         :param left: seconds until the caller or the route gives up
         :param tried: names of targets that are not to be used
         """
-        usable = self._usable(route, service, tried)
-        if not usable:
-            return Refused(None)
-        region = self._state.settings.region
-        own = [target for target in usable if target.region == region]
-        others = [target for target in usable if target.region != region]
-        request = _Request(route, service, key, elapsed, left)
-        first, second = (own, others) if self._stays(request, own) else (others, own)
-        if not first:
-            return self._place(request, second)
+        state = self._state
+        region = state.settings.region
+        request = _Request(route, service, key, elapsed, left, frozenset(tried))
+        own = state.targets.in_region(service, region)
+        others = state.targets.outside_region(service, region)
+        first, second = (own, others) if self._stays(request) else (others, own)
         chosen = self._place(request, first)
-        if isinstance(chosen, Placed) or not second:
+        if isinstance(chosen, Placed):
             return chosen
         elsewhere = self._place(request, second)
-        if isinstance(elsewhere, Refused) or not self._spilled.take(self._state.clock.now()):
+        if chosen.wait is None:
+            return elsewhere
+        if isinstance(elsewhere, Refused) or not self._spilled.take(state.clock.now()):
             return chosen
         return elsewhere
 
-    def _stays(self, request: _Request, own: list[RegisteredTarget]) -> bool:
+    def _stays(self, request: _Request) -> bool:
         """Return whether an object's home is in the own region."""
         share = self._state.service(request.service).kept.share
         if not request.keyed:
             return self._random.random() < share
-        if key_position(request.service, request.key) >= share:
-            return False
-        return bool(own)
+        return key_position(request.service, request.key) < share
 
-    def _place(self, request: _Request, targets: list[RegisteredTarget]) -> Placed | Refused:
+    def _place(self, request: _Request, pool: TargetPool) -> Placed | Refused:
         """Choose among the targets of the region, or the regions, that are to serve a request."""
+        now = self._state.clock.now()
+
+        def usable(target: RegisteredTarget) -> bool:
+            return request.allows(target) and self._state.may_use(target, now)
+
         if not request.keyed:
-            return self._cheapest(request, targets, frozenset())
-        by_name = {target.name: target for target in targets}
-        order = ranked_first(request.key, tuple(by_name), _CONSIDERED)
-        code = short_hash(request.key)
-        warm = {name for name in by_name if self._state.stats(name).warm(code)}
-        home = self._home(request, by_name, order[0], warm)
-        names = {home, *order, *warm}
-        considered = [by_name[name] for name in by_name if name in names]
-        return self._cheapest(request, considered, warm or frozenset({home}), home)
+            return self._cheapest(request, [target for target in pool if usable(target)], ())
+        order = pool.first(request.key, usable, _CONSIDERED)
+        if not order:
+            return Refused(None)
+        warm = self._warm(request, pool, usable)
+        home = self._home(request, order[0], warm, usable)
+        considered = {target.name: target for target in (home, *order, *warm.values())}
+        names = sorted(considered)
+        return self._cheapest(
+            request, [considered[name] for name in names], warm or {home.name}, home.name
+        )
+
+    def _warm(
+        self, request: _Request, pool: TargetPool, usable: Callable[[RegisteredTarget], bool]
+    ) -> dict[str, RegisteredTarget]:
+        """Return the usable targets of a pool that are warm for an object, by name."""
+        found = {}
+        for name in self._state.warm_objects.targets(short_hash(request.key)):
+            target = self._state.targets.get(name) if name in pool else None
+            if target is not None and usable(target):
+                found[name] = target
+        return found
 
     def _home(
         self,
         request: _Request,
-        by_name: dict[str, RegisteredTarget],
-        common: str,
+        common: RegisteredTarget,
         warm: Collection[str],
-    ) -> str:
+        usable: Callable[[RegisteredTarget], bool],
+    ) -> RegisteredTarget:
         """Return the target that should serve an object.
 
         The common one is used where it is not warm too, so that targets that join get a part.
 
         :param common: the one that all VMs prefer for it
-        :param warm: those that are warm for it
+        :param warm: names of those that are warm for it
         """
-        domain = self._state.settings.domain
-        near = tuple(name for name, target in by_name.items() if target.domain == domain)
-        local = ranked_first(request.key, near, 1)[0] if near else common
-        if not warm:
+        settings = self._state.settings
+        if not warm or common.region != settings.region:
             return common
-        if local in warm:
+        near = self._state.targets.in_domain(request.service, settings.domain)
+        local = next(iter(near.first(request.key, usable, 1)), common)
+        if local.name in warm:
             return local
-        if request.route.idempotent and self._worth_warming(request.service, by_name[local]):
+        if request.route.idempotent and self._worth_warming(request.service, local):
             return local
         return common
 
@@ -207,18 +221,6 @@
             return 0.0
         return _OTHER_DOMAIN_COST if target.region == settings.region else _OTHER_REGION_COST
 
-    def _usable(self, route: Route, service: str, tried: Collection[str]) -> list[RegisteredTarget]:
-        """Return the targets that may get a request."""
-        allowed = route.allowed_regions
-        usable = self._state.usable(service, self._state.clock.now())
-        if not tried and not allowed:
-            return usable
-        return [
-            target
-            for target in usable
-            if target.name not in tried and (not allowed or target.region in allowed)
-        ]
-
 
 @attrs.frozen
 class _Request:
@@ -229,8 +231,14 @@
     key: str
     elapsed: float
     left: float
+    tried: frozenset[str]
 
     @property
     def keyed(self) -> bool:
         """Whether it matters which target has handled the object."""
         return bool(self.key) and self.route.sticky
+
+    def allows(self, target: RegisteredTarget) -> bool:
+        """Return whether neither its route nor an earlier attempt rules a target out."""
+        allowed = self.route.allowed_regions
+        return target.name not in self.tried and (not allowed or target.region in allowed)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -11,6 +11,7 @@
 from carawayquay.kept_share import RegionLoad
 from carawayquay.load_reports import short_hash
 from carawayquay.target_stats import TargetStats
+from carawayquay.warm_objects import WarmObjects
 from carawayquay_gateway.adoption import Adoption
 from carawayquay_gateway.service_state import ServiceState
 from carawayquay_platform.objects import ObjectKind
@@ -21,6 +22,7 @@
 
     from carawayquay.clock import Clock
     from carawayquay.discovery import RegisteredTarget
+    from carawayquay.entry_peers import RegionRates
     from carawayquay.load_reports import VMIdentity, WarmObject
     from carawayquay.routes import Configuration
     from carawayquay_gateway.settings import GatewaySettings
@@ -57,6 +59,7 @@
         self.peers = EntryPeers(identity)
         self.cold_rates = ColdRates()
         self.idle_lives = IdleLives()
+        self.warm_objects = WarmObjects()
         self._cold_rights = ColdRights(settings.cold_over, settings.cold_slack)
         self._services: dict[str, ServiceState] = {}
         self._stats: dict[str, TargetStats] = {}
@@ -111,10 +114,6 @@
         """Return the targets at which this VM has requests in flight, and how many."""
         return [(name, stats.running) for name, stats in self._stats.items() if stats.running]
 
-    def usable(self, service: str, now: timedelta) -> list[RegisteredTarget]:
-        """Return the targets of a service to which a request may go now."""
-        return [target for target in self.targets.ready(service) if self.may_use(target, now)]
-
     def may_use(self, target: RegisteredTarget, now: timedelta) -> bool:
         """Return whether a request may go to a ready target now."""
         if target.domain in self.evacuated or not self.stats(target.name).usable(now):
@@ -127,6 +126,7 @@
         """Drop what was measured of a target that is gone, unless a request is still there."""
         self.cold_rates.forget(name)
         self.idle_lives.forget(name)
+        self.warm_objects.forget(name)
         stats = self._stats.get(name)
         if stats is not None and stats.running == 0:
             del self._stats[name]
@@ -141,11 +141,14 @@
         """Move the shares of requests that stay in their region."""
         if self.configuration is None:
             return
+        rates = self.peers.rates(now)
         for name in self.configuration.service_names:
             service = self.service(name)
-            service.kept.update(self._region_load(name, service, now), now)
+            service.kept.update(self._region_load(name, service, rates, now), now)
 
-    def _region_load(self, name: str, service: ServiceState, now: timedelta) -> RegionLoad:
+    def _region_load(
+        self, name: str, service: ServiceState, rates: RegionRates, now: timedelta
+    ) -> RegionLoad:
         usable = [
             target for target in self.targets.ready(name) if target.domain not in self.evacuated
         ]
@@ -154,7 +157,7 @@
         code = short_hash(name)
         own_rate = service.rate(now)
         work = service.times.mean(_ASSUMED_LATENCY)
-        demand = work * (own_rate + self.peers.rate(code, region, now))
+        demand = work * (own_rate + rates.of(region, code))
         busy = service.observe_busy(sum(self.running(target.name) for target in near))
         if demand > 0:
             # What keeps the targets busy is known better than the work that was estimated.
@@ -162,7 +165,7 @@
         return RegionLoad(
             demand=demand,
             capacity=sum(target.slots for target in near),
-            all_demand=work * (own_rate + self.peers.rate(code, None, now)),
+            all_demand=work * (own_rate + rates.total(code)),
             all_capacity=sum(target.slots for target in usable),
             regions=len(set(self.settings.regions.values())),
         )
@@ -173,7 +176,7 @@
         for item in news:
             name = names.get(item.target)
             if name is not None:
-                self.stats(name).note_warm(item.key)
+                self.warm_objects.note(name, item.key)
 
     def _target_names(self) -> dict[int, str]:
         """Return the names of the registered targets by their short hashes."""
--- a/packages/gateway/tests/test_adoption.py
+++ b/packages/gateway/tests/test_adoption.py
@@ -64,7 +64,7 @@
 def test_news_of_a_target_that_took_another_ones_place_is_understood():
     state, _ = _state()
     state.learn_warm([WarmObject(short_hash("t1"), 7)])
-    assert state.stats("t1").warm(7)
+    assert state.warm_objects.warm("t1", 7)
     _list(state, 30, "t2")
     state.learn_warm([WarmObject(short_hash("t2"), 7)])
-    assert state.stats("t2").warm(7)
+    assert state.warm_objects.warm("t2", 7)
--- a/packages/gateway/tests/test_entry.py
+++ b/packages/gateway/tests/test_entry.py
@@ -46,6 +46,28 @@
     run(check)
 
 
+def test_entry_whose_write_was_not_confirmed_is_removed_at_a_planned_stop():
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state()
+        keeper = await _keeper(store, state)
+        await store.put(KIND, "puget-a-1", entry_vm_spec(state.identity))
+        await keeper.remove()
+        assert store.object(KIND, "puget-a-1") is None
+
+    run(check)
+
+
+def test_entry_of_another_start_is_left_at_a_planned_stop():
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state()
+        keeper = await _keeper(store, state)
+        await store.put(KIND, "puget-a-1", entry_vm_spec(identity(incarnation=9)))
+        await keeper.remove()
+        assert store.object(KIND, "puget-a-1") is not None
+
+    run(check)
+
+
 @pytest.mark.parametrize("fault", [{"lose_writes": 1}, {"refuse_status": 503}])
 def test_entry_is_written_in_the_end_whatever_happens_to_a_call(fault):
     async def check():
--- a/packages/gateway/tests/test_selection.py
+++ b/packages/gateway/tests/test_selection.py
@@ -65,7 +65,7 @@
         if _place(selection, f"k{index}").target.domain == "puget-b"
     )
     for name in ("a0", "a1"):
-        state.stats(name).note_warm(short_hash(key))
+        state.warm_objects.note(name, short_hash(key))
     assert _place(selection, key).target.domain == "puget-a"
 
 
