Report less often to VMs that are many; look at who is ahead only if someone is

Cause: control work took over half of the processor on the grown sites, 5.4% of a core at 143 VMs and 350 targets; half of it is reading reports.

Each VM is told when it is due instead of in turns by its index. A watcher looks for the VM that is ahead only if some report ever named a later revision; ranks on duty are kept; sums of rates stand for 0.6 s.

--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from carawayquay.report_pace import Distance, ReportPace, distance, report_pace
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -14,12 +16,6 @@
 
 __all__ = ["EntryPeers", "Peer", "RegionRates"]
 
-#: Silence after which a VM is not named to callers any more: several reports that did not come.
-#: VMs of the own failure domain report most often, those of other regions least.
-_DOMAIN_SILENCE = timedelta(seconds=1.2)
-_REGION_SILENCE = timedelta(seconds=2.5)
-_FAR_SILENCE = timedelta(seconds=4)
-
 #: How long the in-flight counts of a report stand for the present.
 _COUNTS_LIFE = timedelta(seconds=2.5)
 
@@ -33,18 +29,18 @@
 
     :param heard: when its last report came, or None if it is known by hearsay only
     :param learned: when this VM first heard of it
-    :param silence: time without a report after which it is taken for gone
+    :param pace: how often it reports here, and after which silence it is taken for gone
     """
 
     identity: VMIdentity
     learned: timedelta
-    silence: timedelta
+    pace: ReportPace
     heard: timedelta | None = None
     report: LoadReport | None = None
 
     def live(self, now: timedelta) -> bool:
         """Return whether the VM reported lately."""
-        return self.heard is not None and now - self.heard < self.silence
+        return self.heard is not None and now - self.heard < self.pace.silence
 
 
 class RegionRates:
@@ -77,6 +73,7 @@
         self._peers: dict[str, Peer] = {}
         self._running: dict[int, int] = {}
         self._counted: dict[str, LoadReport] = {}
+        self._newest: dict[int, int] = {}
         self._turn = 0
 
     def __iter__(self) -> Iterator[Peer]:
@@ -112,6 +109,10 @@
                     found.add(peer.identity.region, rate)
         return found
 
+    def newest_revision(self, index: int) -> int:
+        """Return the last change that any VM ever reported, by the index of the kind in reports."""
+        return self._newest.get(index, 0)
+
     def learn(self, identity: VMIdentity, now: timedelta) -> None:
         """Take that another VM exists, by hearsay."""
         if identity.name == self._own.name:
@@ -119,7 +120,7 @@
         known = self._peers.get(identity.name)
         if known is None or identity.incarnation > known.identity.incarnation:
             self._forget_counts(identity.name)
-            self._peers[identity.name] = Peer(identity, now, self._silence(identity))
+            self._add(identity, now)
 
     def receive(self, report: LoadReport, now: timedelta) -> bool:
         """Take a report; return False if a newer one is known.
@@ -140,13 +141,15 @@
             if last is not None and same_start and report.sequence <= last.sequence:
                 return False
         if peer is None or report.sender != peer.identity:
-            peer = self._peers[name] = Peer(report.sender, now, self._silence(report.sender))
+            peer = self._add(report.sender, now)
         peer.heard = now
         peer.report = report
         self._forget_counts(name)
         self._counted[name] = report
         for count in report.targets:
             self._running[count.target] = self._running.get(count.target, 0) + count.running
+        for index, revision in enumerate(report.revisions):
+            self._newest[index] = max(revision, self._newest.get(index, 0))
         for member in report.members:
             self.learn(member, now)
         return True
@@ -159,6 +162,7 @@
                 self._forget_counts(peer.identity.name)
             if now - since > _MEMORY:
                 del self._peers[peer.identity.name]
+                self._update_paces()
 
     def some_members(self, count: int, now: timedelta) -> tuple[VMIdentity, ...]:
         """Return some live VMs, others at each call, for a report."""
@@ -169,10 +173,22 @@
         self._turn += count
         return tuple((live + live)[start : start + count])
 
-    def _silence(self, identity: VMIdentity) -> timedelta:
-        if identity.domain == self._own.domain:
-            return _DOMAIN_SILENCE
-        return _REGION_SILENCE if identity.region == self._own.region else _FAR_SILENCE
+    def _add(self, identity: VMIdentity, now: timedelta) -> Peer:
+        """Know a VM, in place of an earlier start of it."""
+        pace = report_pace(distance(self._own, identity), 1)
+        peer = self._peers[identity.name] = Peer(identity, now, pace)
+        self._update_paces()
+        return peer
+
+    def _update_paces(self) -> None:
+        """Let the VMs of each distance report as often as their number allows."""
+        by_distance: dict[Distance, list[Peer]] = {}
+        for peer in self._peers.values():
+            by_distance.setdefault(distance(self._own, peer.identity), []).append(peer)
+        for apart, peers in by_distance.items():
+            pace = report_pace(apart, len(peers))
+            for peer in peers:
+                peer.pace = pace
 
     def _forget_counts(self, name: str) -> None:
         report = self._counted.pop(name, None)
--- a/packages/core/src/carawayquay/watch_duty.py
+++ b/packages/core/src/carawayquay/watch_duty.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from carawayquay.rendezvous import score
@@ -14,6 +15,8 @@
 
 __all__ = ["on_duty"]
 
+_rank = lru_cache(maxsize=1024)(score)
+
 
 def on_duty(own: VMIdentity, peers: EntryPeers, now: timedelta) -> bool:
     """Return whether a VM has to watch the store.
@@ -22,11 +25,11 @@
     only while one before it lives and says that the store answers it, so a VM that the store
     turns away, or that stops, is followed by the next one.
     """
-    own_rank = score(own.domain, own.name)
+    own_rank = _rank(own.domain, own.name)
     for peer in peers.live(now):
         if peer.identity.domain != own.domain or peer.report is None:
             continue
-        before = score(own.domain, peer.identity.name) > own_rank
+        before = _rank(own.domain, peer.identity.name) > own_rank
         if before and peer.report.watching:
             return False
     return True
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -96,7 +96,7 @@
         self._entry = EntryKeeper(self._state, self._store, generator)
         crashes = CrashCounts()
         warm = WarmNews()
-        self._peers = PeerExchange(self._state, crashes, warm)
+        self._peers = PeerExchange(self._state, crashes, warm, generator)
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
         self._forwarder = Forwarder(self._state, selection, crashes, warm, round_trips, generator)
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -16,6 +16,7 @@
 from carawayquay_wire.reports import MAX_DATAGRAM_BYTES, decode_report, encode_report
 
 if TYPE_CHECKING:
+    from random import Random
     from typing import Any
 
     from carawayquay.crash_counts import CrashCounts
@@ -27,15 +28,12 @@
 
 _log = EventLog("peers")
 
-#: Time between reports to VMs of the own failure domain, while there are few of them.
+#: Time between two looks at who is due a report, and the earliness that is allowed.
 _TURN_SECONDS = 0.2
+_EARLY = timedelta(milliseconds=50)
 
-#: Reports to VMs of the own region, and to those of others, are sent once in so many turns.
-_REGION_TURNS = 3
-_FAR_TURNS = 6
-
-#: Reports name other VMs once in so many turns, a number without a divisor in common with those
-#: above, so that every VM gets to hear names.
+#: Reports name other VMs once in so many turns, a number without a divisor in common with the turns
+#: between two reports to one VM, so that every VM gets to hear names.
 _MEMBERS_TURNS = 7
 _MEMBERS_IN_REPORT = 3
 
@@ -57,8 +55,12 @@
 class PeerExchange:
     """Sends this VM's load to others and takes theirs."""
 
-    def __init__(self, state: GatewayState, crashes: CrashCounts, warm: WarmNews) -> None:
+    def __init__(
+        self, state: GatewayState, crashes: CrashCounts, warm: WarmNews, random: Random
+    ) -> None:
         self._state = state
+        self._random = random
+        self._due: dict[str, timedelta] = {}
         self._crashes = crashes
         self._warm = warm
         self._sequence = 0
@@ -135,12 +137,9 @@
             hosts = self._next_hosts()
             await self._send_to(new_hosts, _MEMBERS_AT_START)
             await self._send_to(hosts, self._members_now())
-            await curio.sleep(self._interval(len(new_hosts) + len(hosts)))
+            await curio.sleep(_TURN_SECONDS)
             self._turn += 1
 
-    def _interval(self, datagrams: int) -> float:
-        return max(_TURN_SECONDS, datagrams / _MAX_DATAGRAMS_PER_SECOND)
-
     def _members_now(self) -> int:
         """Return the number of VMs that the reports of this turn name."""
         if self._state.clock.now() - self._started_at < _START:
@@ -158,21 +157,26 @@
         """Return the VMs that are told in this turn, the farther ones less often."""
         hosts = []
         known = {self._state.identity.host}
-        for index, peer in enumerate(self._state.peers):
+        now = self._state.clock.now()
+        due: dict[str, timedelta] = {}
+        for peer in self._state.peers:
+            name, interval = peer.identity.name, peer.pace.interval
             known.add(peer.identity.host)
-            if (self._turn + index) % self._turns(peer.identity) == 0:
+            at = self._due.get(name)
+            if at is None:
+                # Those that became known together are told at different times from now on.
+                due[name] = now + interval * self._random.random()
+            elif at - _EARLY <= now:
                 hosts.append(peer.identity.host)
+                due[name] = max(at + interval, now)
+            else:
+                due[name] = at
+        self._due = due
         if self._turn % _SEED_TURNS == 0:
             seeds = {seed.host for seed in self._state.settings.seeds}
             hosts += sorted(seeds - known)
         return hosts
 
-    def _turns(self, vm: VMIdentity) -> int:
-        """Return in which turns a VM is told: once in so many."""
-        if vm.domain == self._state.identity.domain:
-            return 1
-        return _REGION_TURNS if vm.region == self._state.identity.region else _FAR_TURNS
-
     async def _send_to(self, hosts: list[str], members: int = 0) -> None:
         """Send one report to several VMs.
 
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from carawayquay.cold_rates import ColdRates, ColdRights
 from carawayquay.discovery import TargetRegistry
-from carawayquay.entry_peers import EntryPeers
+from carawayquay.entry_peers import EntryPeers, RegionRates
 from carawayquay.idle_lives import IdleLives
 from carawayquay.kept_share import RegionLoad
 from carawayquay.load_reports import short_hash
@@ -18,11 +19,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from datetime import timedelta
 
     from carawayquay.clock import Clock
     from carawayquay.discovery import RegisteredTarget
-    from carawayquay.entry_peers import RegionRates
     from carawayquay.load_reports import VMIdentity, WarmObject
     from carawayquay.routes import Configuration
     from carawayquay_gateway.settings import GatewaySettings
@@ -33,6 +32,9 @@
 #: Share of a region's requests below which their number at its targets tells nothing.
 _LEAST_SHARE = 0.2
 
+#: How long the sums of other VMs' rates stand, which are themselves those of some seconds.
+_RATES_LIFE = timedelta(milliseconds=600)
+
 #: Seconds of work that are assumed before a service has answered.
 _ASSUMED_LATENCY = 0.3
 
@@ -65,6 +67,8 @@
         self._stats: dict[str, TargetStats] = {}
         self._names: dict[int, str] = {}
         self._names_of = -1
+        self._rates = RegionRates()
+        self._rates_until = timedelta()
         self.store_failed_at: timedelta | None = None
         self.adoption = Adoption(self)
         self.replicas = self.adoption.replicas()
@@ -104,8 +108,11 @@
 
     def running(self, target: str) -> int:
         """Return the requests in flight at a target from all VMs, as far as known."""
+        return self._running_at(target, self.clock.now())
+
+    def _running_at(self, target: str, now: timedelta) -> int:
         stats = self.stats(target)
-        others = stats.others(self.clock.now())
+        others = stats.others(now)
         if others is None:
             others = self.peers.running(short_hash(target))
         return stats.running + others
@@ -141,14 +148,14 @@
         """Move the shares of requests that stay in their region."""
         if self.configuration is None:
             return
-        rates = self.peers.rates(now)
+        if now >= self._rates_until:
+            self._rates = self.peers.rates(now)
+            self._rates_until = now + _RATES_LIFE
         for name in self.configuration.service_names:
             service = self.service(name)
-            service.kept.update(self._region_load(name, service, rates, now), now)
+            service.kept.update(self._region_load(name, service, now), now)
 
-    def _region_load(
-        self, name: str, service: ServiceState, rates: RegionRates, now: timedelta
-    ) -> RegionLoad:
+    def _region_load(self, name: str, service: ServiceState, now: timedelta) -> RegionLoad:
         usable = [
             target for target in self.targets.ready(name) if target.domain not in self.evacuated
         ]
@@ -157,15 +164,15 @@
         code = short_hash(name)
         own_rate = service.rate(now)
         work = service.times.mean(_ASSUMED_LATENCY)
-        demand = work * (own_rate + rates.of(region, code))
-        busy = service.observe_busy(sum(self.running(target.name) for target in near))
+        demand = work * (own_rate + self._rates.of(region, code))
+        busy = service.observe_busy(sum(self._running_at(target.name, now) for target in near))
         if demand > 0:
             # What keeps the targets busy is known better than the work that was estimated.
             demand = max(demand, busy / max(_LEAST_SHARE, service.kept.share))
         return RegionLoad(
             demand=demand,
             capacity=sum(target.slots for target in near),
-            all_demand=work * (own_rate + rates.total(code)),
+            all_demand=work * (own_rate + self._rates.total(code)),
             all_capacity=sum(target.slots for target in usable),
             regions=len(set(self.settings.regions.values())),
         )
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -172,6 +172,8 @@
 
     def _newest_at_peers(self) -> _Newest | None:
         """Return the last change that a live VM saw, and where to ask for it, near VMs first."""
+        if self._state.peers.newest_revision(self._index) <= (self._replica.revision or 0):
+            return None
         now = self._state.clock.now()
         best: _Newest | None = None
         for peer in self._state.peers:
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import attrs
 import curio
 import pytest
@@ -52,7 +54,7 @@
         seeds=(Address(seed, 1),),
     )
     crashes, warm = CrashCounts(), WarmNews()
-    return _VM(state, crashes, warm, PeerExchange(state, crashes, warm))
+    return _VM(state, crashes, warm, PeerExchange(state, crashes, warm, random.Random(index)))
 
 
 async def _started(count=3):
