--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -40,7 +40,7 @@
 #: The first report to a VM names more of them, and so does every one of a VM that just started,
 #: since a whole fleet may start at once and know no more than seeds.
 _MEMBERS_AT_START = 16
-_START = timedelta(seconds=10)
+_START = timedelta(seconds=2)
 
 #: Datagrams that one VM sends in a second at the most, however many VMs there are.
 _MAX_DATAGRAMS_PER_SECOND = 150
