Revert "Let a target finish a booking that began, beyond its route's timeout"

Conclusion: cutting off at the route's timeout serves more callers. What would help is to place bookings so that they do not meet cold targets, not to let them run on.

--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -72,18 +72,6 @@
             running=self._state.running(placed.target.name),
         )
 
-    def note_late(self, exchange: Exchange, placed: Placed, answer: TargetAnswer) -> None:
-        """Take that a target answered after its caller was told that the time ran out."""
-        self._state.metrics.count("answers_late_total", service=exchange.service)
-        _log.info(
-            Event.ANSWER_LATE,
-            id=exchange.call.request_id,
-            target=placed.target.name,
-            status=answer.status,
-            ms=int(exchange.elapsed(self._state.clock.now()) * 1000),
-            warm=placed.warm,
-        )
-
     def end(
         self, exchange: Exchange, kind: ErrorKind, reason: str, after: float | None = None
     ) -> HttpResponse:
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -15,7 +15,7 @@
 from carawayquay_gateway.answers import CallerAnswers
 from carawayquay_gateway.exchanges import Exchange, FailureAnswer
 from carawayquay_gateway.observations import Observations
-from carawayquay_gateway.target_calls import Answered, Overtime, TargetCaller, Unanswered
+from carawayquay_gateway.target_calls import Answered, TargetCaller, Unanswered
 from carawayquay_platform import headers
 from carawayquay_wire.events import Event, EventLog
 
@@ -43,9 +43,6 @@
 #: Seconds until room is expected at targets that could not be tried for want of retries.
 _RETRY_WAIT = 0.1
 
-#: Part of a route's timeout for which a target may go on with a request that must not be cut off.
-_OVERTIME_PART = 0.5
-
 _SERVER_ERROR = 500
 
 
@@ -73,8 +70,8 @@
 
     @property
     def active(self) -> int:
-        """The number of requests that are being carried, or that targets still go on with."""
-        return self._active + self._targets.overtime
+        """The number of requests that are being carried."""
+        return self._active
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a caller's request."""
@@ -161,16 +158,13 @@
     async def _send(self, exchange: Exchange, placed: Placed) -> HttpResponse | None:
         """Send a request to one target; return the caller's answer, or None if there is none."""
         target = placed.target
-        now = self._state.clock.now()
-        left = exchange.ends - now
-        overtime = self._overtime(exchange, placed, now)
-        longest = left if overtime is None else left + overtime.longest
-        request = headers.target_request(exchange.call, target.name, longest)
+        left = exchange.ends - self._state.clock.now()
+        request = headers.target_request(exchange.call, target.name, left)
         ran_before = exchange.may_have_run
         exchange.tried.add(target.name)
         exchange.sent += 1
         exchange.may_have_run = True
-        match await self._targets.call(target, request, left, exchange.fingerprint, overtime):
+        match await self._targets.call(target, request, left, exchange.fingerprint):
             case Unanswered() as unanswered:
                 if not unanswered.sent:
                     exchange.sent -= 1
@@ -182,31 +176,6 @@
                     exchange.may_have_run = ran_before
                 return self._take(exchange, placed, answered)
 
-    def _overtime(self, exchange: Exchange, placed: Placed, now: timedelta) -> Overtime | None:
-        """Return how long a target may go on with a request after its route's timeout.
-
-        A request that is not idempotent and has begun to run is not cut off half done, as long as
-        its caller said that it would wait; it also leaves the target warm for the next one. Where
-        a queue was expected it may not have begun, and is cancelled.
-        """
-        waits = exchange.call.time_left
-        if exchange.route.idempotent or placed.wait > 0 or waits is None:
-            return None
-        longest = min(
-            exchange.started + waits - exchange.ends, exchange.route.timeout * _OVERTIME_PART
-        )
-        if longest <= _ANSWER_MARGIN:
-            return None
-        return Overtime(longest, lambda answered: self._take_late(exchange, placed, answered))
-
-    def _take_late(self, exchange: Exchange, placed: Placed, answered: Answered) -> None:
-        """Learn from an answer that came after its caller was answered."""
-        answer = answered.answer
-        late = not (answer.not_run or answer.other_target) and answer.status < _SERVER_ERROR
-        if late:
-            self._observations.record(exchange, placed, answered)
-        self._answers.note_late(exchange, placed, answer)
-
     def _take(self, exchange: Exchange, placed: Placed, answered: Answered) -> HttpResponse | None:
         """Return the caller's answer that follows from a target's, or None to try another."""
         now = self._state.clock.now()
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -13,8 +13,6 @@
 from carawayquay_wire.http_client import HttpClient, HttpError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from carawayquay.crash_counts import CrashCounts
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.forwarding import TargetAnswer
@@ -23,7 +21,7 @@
     from carawayquay_gateway.state import GatewayState
     from carawayquay_wire.http import HttpRequest
 
-__all__ = ["Answered", "Overtime", "TargetCaller", "Unanswered"]
+__all__ = ["Answered", "TargetCaller", "Unanswered"]
 
 _log = EventLog("targets")
 
@@ -68,17 +66,6 @@
         return "timeout" if self.timed_out else "broken"
 
 
-@attrs.frozen
-class Overtime:
-    """The time that a target may take beyond its caller's.
-
-    :param late: told of a whole answer that comes within that time
-    """
-
-    longest: timedelta
-    late: Callable[[Answered], None]
-
-
 class TargetCaller:
     """Calls targets over connections that are kept open."""
 
@@ -86,78 +73,22 @@
         self._state = state
         self._crashes = crashes
         self._round_trips = round_trips
-        self._overtime = 0
         self._domains: dict[Address, str] = {}
         self._http = HttpClient(_MAX_ANSWER_BYTES, state.clock, self._note_dialled, _DIAL_SECONDS)
 
-    @property
-    def overtime(self) -> int:
-        """The number of requests that targets go on with though their callers were answered."""
-        return self._overtime
-
     async def call(
-        self,
-        target: RegisteredTarget,
-        request: HttpRequest,
-        left: timedelta,
-        fingerprint: int,
-        overtime: Overtime | None = None,
+        self, target: RegisteredTarget, request: HttpRequest, left: timedelta, fingerprint: int
     ) -> Answered | Unanswered:
         """Send a request to a target.
 
         :param left: how long an answer is of use
         :param fingerprint: what equal requests share, in case the target crashes
-        :param overtime: how long the target may go on after that, which it may not if None
         """
         stats = self._state.stats(target.name)
-        stats.running += 1
-        try:
-            if overtime is None:
-                return await self._exchange(target, request, left, fingerprint)
-            return await self._exchange_overtime(target, request, left, fingerprint, overtime)
-        finally:
-            stats.running -= 1
-
-    async def _exchange_overtime(
-        self,
-        target: RegisteredTarget,
-        request: HttpRequest,
-        left: timedelta,
-        fingerprint: int,
-        overtime: Overtime,
-    ) -> Answered | Unanswered:
-        """Return a target's answer, or that there is none yet while the target goes on."""
-        longest = left + overtime.longest
-        task = await curio.spawn(self._exchange, target, request, longest, fingerprint, daemon=True)
-        try:
-            async with curio.timeout_after(left.total_seconds()):
-                await task.wait()
-        except curio.TaskTimeout:
-            # The connection may be silent instead of the target slow, and the idle ones with it.
-            await self._http.drop_idle(target.address)
-            await curio.spawn(self._await_late, task, overtime, daemon=True)
-            return Unanswered(sent=True, timed_out=True)
-        except curio.TaskCancelled:
-            await task.cancel()
-            raise
-        return task.result
-
-    async def _await_late(self, task: curio.Task, overtime: Overtime) -> None:
-        """Take what a target answers after its caller was answered."""
-        self._overtime += 1
-        try:
-            await task.wait()
-            if isinstance(task.result, Answered):
-                overtime.late(task.result)
-        finally:
-            self._overtime -= 1
-
-    async def _exchange(
-        self, target: RegisteredTarget, request: HttpRequest, left: timedelta, fingerprint: int
-    ) -> Answered | Unanswered:
         started = self._state.clock.now()
         self._domains[target.address] = target.domain
         self._state.cold_rates.count(target.name, started)
+        stats.running += 1
         try:
             response = await self._http.exchange(
                 target.address,
@@ -172,6 +103,8 @@
                 await self._note_used_broken(target, unanswered)
             await self._note_unanswered(target, unanswered, fingerprint)
             return unanswered
+        finally:
+            stats.running -= 1
         answer = headers.read_answer(response)
         await self._note_answer(target, answer)
         return Answered(answer, (self._state.clock.now() - started).total_seconds())
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -182,7 +182,6 @@
         self._script = list(script)
         self.requests: list[bytes] = []
         self.closed_early = 0
-        self.answered = 0
         self.connections = 0
         self.address = None
 
@@ -205,7 +204,6 @@
                 step = self._script.pop(0) if len(self._script) > 1 else answer_bytes()
             if step is None:
                 return
-            self.answered += 1
             await sock.sendall(step)
 
 
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -228,46 +228,6 @@
     assert connections == 3
 
 
-def _overtime(kind, *, work_seconds, left_ms, leave_after=None):
-    """Send one request with a route's timeout of 300 ms; return what came of it."""
-    configured = configuration(route(timeout="300ms", kind=kind))
-
-    async def go():
-        it = await ScriptedTarget(work_seconds, answer_bytes()).start()
-        forwarder, state = new_forwarder([("t0", target(it.address))], configured)
-        task = await curio.spawn(forwarder.handle, request(left_ms=left_ms))
-        if leave_after is not None:
-            await curio.sleep(leave_after)
-            await task.cancel()
-        status = None if leave_after is not None else (await task.join()).status
-        while forwarder.active or not (it.closed_early or it.answered):
-            await curio.sleep(0.01)
-        return status, it.closed_early, state.warm_objects.warm("t0", short_hash("17"))
-
-    return run(go)
-
-
-def test_booking_that_began_is_not_cut_off_at_the_routes_timeout():
-    assert _overtime("non_idempotent", work_seconds=0.4, left_ms=1000) == (504, 0, True)
-
-
-def test_booking_is_cut_off_where_its_caller_waits_no_longer():
-    assert _overtime("non_idempotent", work_seconds=0.4, left_ms=300) == (504, 1, False)
-
-
-def test_booking_is_cut_off_after_a_bounded_time_over():
-    assert _overtime("non_idempotent", work_seconds=5.0, left_ms=9000) == (504, 1, False)
-
-
-def test_booking_is_cancelled_when_its_caller_leaves():
-    left = _overtime("non_idempotent", work_seconds=0.4, left_ms=1000, leave_after=0.1)
-    assert left == (None, 1, False)
-
-
-def test_idempotent_request_is_cut_off_at_the_routes_timeout():
-    assert _overtime("idempotent", work_seconds=0.4, left_ms=1000) == (504, 1, False)
-
-
 def test_target_that_takes_no_connection_leaves_time_for_another():
     async def unanswered():
         full = curio.network.tcp_server_socket("127.0.0.1", 0, backlog=0)
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -47,7 +47,6 @@
     REQUEST_FAILED = "request-failed"
     REQUEST_RETRIED = "request-retried"
     REQUEST_LEFT = "request-left"
-    ANSWER_LATE = "answer-late"
     EVACUATION_STARTED = "evacuation-started"
     EVACUATION_ENDED = "evacuation-ended"
     PEER_FOUND = "peer-found"
