--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -34,13 +34,13 @@
 
 #: Reports name other VMs once in so many turns, a number without a divisor in common with the turns
 #: between two reports to one VM, so that every VM gets to hear names.
-_MEMBERS_TURNS = 7
+_MEMBERS_TURNS = 11
 _MEMBERS_IN_REPORT = 3
 
 #: The first report to a VM names more of them, and so does every one of a VM that just started,
 #: since a whole fleet may start at once and know no more than seeds.
-_MEMBERS_AT_START = 16
-_START = timedelta(seconds=2)
+_MEMBERS_AT_START = 8
+_START = timedelta(seconds=1)
 
 #: Datagrams that one VM sends in a second at the most, however many VMs there are.
 _MAX_DATAGRAMS_PER_SECOND = 150
