Play callers, targets and VMs on one clock, with this system's decisions and baselines

The gateway's own Selection, Observations, KeptShare and retry_after decide; random, least loaded, nearest and affinity alone are the baselines.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 report: $(VENV)/.installed
 	$(BIN)/python -m carawayquay_benchmarks.scenarios --out report
+	$(BIN)/python -m carawayquay_benchmarks.caller_runs
 
 format: $(VENV)/.installed
 	$(BIN)/ruff check --quiet --fix-only $(SOURCES)
--- /dev/null
+++ b/benchmarks/src/carawayquay_benchmarks/caller_policies.py
@@ -0,0 +1,315 @@
+"""Policies of an entry VM for the played callers: this system's own, and baselines."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+from typing import TYPE_CHECKING, Protocol
+
+from carawayquay.forwarding import CallerRequest, TargetAnswer
+from carawayquay.load_reports import LoadReport, ServiceRate, TargetCount, VMIdentity, short_hash
+from carawayquay.placement import Placed
+from carawayquay.refusals import retry_after
+from carawayquay.rendezvous import ranked
+from carawayquay.warm_news import WarmNews
+from carawayquay_benchmarks.caller_load import AgendaClock
+from carawayquay_benchmarks.scenario_world import region_of
+from carawayquay_gateway.exchanges import Exchange
+from carawayquay_gateway.observations import Observations
+from carawayquay_gateway.round_trips import RoundTrips
+from carawayquay_gateway.selection import Selection
+from carawayquay_gateway.settings import parse_gateway_settings
+from carawayquay_gateway.state import GatewayState
+from carawayquay_gateway.target_calls import Answered
+from carawayquay_platform.objects import ObjectKind, parse_object
+from carawayquay_platform.store import ObjectListing
+from carawayquay_wire.metrics import Metrics
+
+if TYPE_CHECKING:
+    from carawayquay_benchmarks.caller_load import Call, CallerLoad, Target
+
+__all__ = [
+    "CALLER_POLICIES",
+    "AffinityOnly",
+    "LeastLoaded",
+    "NearestOnly",
+    "Policy",
+    "RandomTarget",
+    "ReturnSoon",
+    "Steered",
+]
+
+_SERVICE = "granite"
+
+#: Time between two reports of one VM to the others, and between two moves of shares.
+_REPORT_SECONDS = 0.4
+_UPDATE_SECONDS = 0.2
+
+#: Seconds after which baselines ask a refused caller to come back.
+_SOON = 0.1
+
+
+class Policy(Protocol):
+    """What one entry VM decides."""
+
+    def start(self, seconds: float) -> None:
+        """Plan what is to happen by itself, for a time."""
+
+    def count(self, call: Call) -> None:
+        """Count a caller's request."""
+
+    def choose(self, call: Call, elapsed: float, left: float) -> str | None:
+        """Return the name of the target for a request, or None to refuse it."""
+
+    def retry_after(self, call: Call, left: float) -> float:
+        """Return the seconds after which a refused caller should come back."""
+
+    def answered(self, call: Call, target: Target, seconds: float, whole: bool) -> None:
+        """Take that a target answered, or that the time ran out."""
+
+    def shed(self, call: Call, target: Target) -> None:
+        """Take that a target refused a request."""
+
+
+class _Baseline:
+    """What baselines share: they never refuse, and forget what they see but their own counts."""
+
+    def __init__(self, load: CallerLoad, domain: str, number: int) -> None:
+        self._load = load
+        self._domain = domain
+        self._random = random.Random(f"{domain}/{number}")
+        self._running = dict.fromkeys(load.targets, 0)
+
+    def start(self, seconds: float) -> None:
+        """Plan nothing."""
+
+    def count(self, call: Call) -> None:
+        """Count nothing."""
+
+    def choose(self, call: Call, elapsed: float, left: float) -> str | None:
+        """Return the name of the target for a request."""
+        names = [name for name in self._load.targets if name not in call.tried]
+        chosen = self._prefer(call, names)
+        self._running[chosen] += 1
+        return chosen
+
+    def retry_after(self, call: Call, left: float) -> float:
+        """Return the seconds after which a refused caller should come back."""
+        return _SOON
+
+    def answered(self, call: Call, target: Target, seconds: float, whole: bool) -> None:
+        """Take that a request left its target."""
+        self._running[target.name] -= 1
+
+    def shed(self, call: Call, target: Target) -> None:
+        """Take that a target refused a request."""
+        self._running[target.name] -= 1
+
+    def _prefer(self, call: Call, names: list[str]) -> str:
+        raise NotImplementedError
+
+
+class RandomTarget(_Baseline):
+    """Any target."""
+
+    def _prefer(self, call: Call, names: list[str]) -> str:
+        return self._random.choice(names)
+
+
+class LeastLoaded(_Baseline):
+    """The target with the fewest requests of this VM."""
+
+    def _prefer(self, call: Call, names: list[str]) -> str:
+        return min(names, key=lambda name: (self._running[name], self._random.random()))
+
+
+class AffinityOnly(_Baseline):
+    """The object's first target of all regions."""
+
+    def _prefer(self, call: Call, names: list[str]) -> str:
+        return ranked(call.key, names)[0]
+
+
+class NearestOnly(_Baseline):
+    """The least loaded target of the own region, or of all where that has none."""
+
+    def _prefer(self, call: Call, names: list[str]) -> str:
+        region = region_of(self._domain)
+        near = [name for name in names if region_of(self._load.targets[name].domain) == region]
+        return min(near or names, key=lambda name: (self._running[name], self._random.random()))
+
+
+class Steered:
+    """This system's decisions, as the gateway makes them."""
+
+    def __init__(self, load: CallerLoad, domain: str, number: int) -> None:
+        self._load = load
+        self._random = random.Random(f"{domain}/{number}")
+        name = f"{domain}-{number}"
+        settings = parse_gateway_settings(_settings_text(load, name, domain))
+        self._identity = VMIdentity(name, f"10.0.0.{number}", domain, region_of(domain), 1)
+        clock = AgendaClock(load.agenda)
+        self.state = GatewayState(settings, clock, Metrics(), self._identity)
+        self._round_trips = RoundTrips(domain, settings.regions)
+        self._selection = Selection(self.state, self._round_trips, self._random)
+        self._warm = WarmNews()
+        self._observations = Observations(self.state, self._warm)
+        self._sequence = 0
+        self._sent: dict[Call, tuple[Exchange, Placed]] = {}
+        self._wait: float | None = None
+        _list_objects(self.state, load)
+        self._route = self.state.configuration.routes[0]
+
+    def start(self, seconds: float) -> None:
+        """Plan reports to the other VMs and moves of shares."""
+        agenda = self._load.agenda
+        agenda.every(_UPDATE_SECONDS, seconds, lambda: self.state.update(agenda.now))
+        agenda.every(_REPORT_SECONDS, seconds, self._report)
+
+    def count(self, call: Call) -> None:
+        """Count a caller's request."""
+        self.state.service(_SERVICE).count_request(self._load.agenda.now)
+        self._selection.count_request()
+
+    def choose(self, call: Call, elapsed: float, left: float) -> str | None:
+        """Return the name of the target for a request, or None to refuse it."""
+        choice = self._selection.select(
+            self._route, _SERVICE, call.key, elapsed, left, frozenset(call.tried)
+        )
+        if not isinstance(choice, Placed):
+            self._wait = choice.wait
+            return None
+        now = self._load.agenda.now
+        self._sent[call] = (
+            Exchange(_request(call), self._route, _SERVICE, now, now + timedelta(seconds=left), 0),
+            choice,
+        )
+        self.state.stats(choice.target.name).running += 1
+        return choice.target.name
+
+    def retry_after(self, call: Call, left: float) -> float:
+        """Return the seconds after which a refused caller should come back."""
+        service = self.state.service(_SERVICE)
+        now = self._load.agenda.now
+        service.count_refusal(now)
+        return retry_after(self._wait, service.refused_part(now), left, self._random)
+
+    def answered(self, call: Call, target: Target, seconds: float, whole: bool) -> None:
+        """Learn from an answer, or from a time that ran out."""
+        exchange, placed = self._sent.pop(call)
+        now = self._load.agenda.now
+        stats = self.state.stats(target.name)
+        stats.running -= 1
+        stats.report_load(target.load, now)
+        if whole:
+            answer = TargetAnswer(200, (), b"", False, False, None, None)
+            self._observations.record(exchange, placed, Answered(answer, seconds))
+        else:
+            stats.failed(now)
+
+    def shed(self, call: Call, target: Target) -> None:
+        """Take that a target refused a request."""
+        self._sent.pop(call)
+        now = self._load.agenda.now
+        stats = self.state.stats(target.name)
+        stats.running -= 1
+        stats.report_load(target.load, now)
+        stats.shed(now)
+
+    def _report(self) -> None:
+        """Tell all other VMs what this one has in flight, takes and found to be warm."""
+        now = self._load.agenda.now
+        self._sequence += 1
+        rate = self.state.service(_SERVICE).rate(now)
+        report = LoadReport(
+            self._identity,
+            self._sequence,
+            False,
+            (),
+            targets=tuple(
+                TargetCount(short_hash(name), count) for name, count in self.state.running_here()
+            ),
+            rates=(ServiceRate(short_hash(_SERVICE), rate),),
+            warmed=self._warm.current(now),
+        )
+        for policies in self._load.vms.values():
+            for other in policies:
+                if other is not self and isinstance(other, Steered):
+                    other.state.peers.receive(report, now)
+                    other.state.learn_warm(report.warmed)
+
+
+class ReturnSoon(Steered):
+    """This system's decisions, but refused callers are asked back soon, however many they are."""
+
+    def retry_after(self, call: Call, left: float) -> float:
+        """Return the seconds after which a refused caller should come back."""
+        super().retry_after(call, left)
+        return _SOON
+
+
+CALLER_POLICIES = (Steered, ReturnSoon, AffinityOnly, NearestOnly, LeastLoaded, RandomTarget)
+
+
+def _request(call: Call) -> CallerRequest:
+    return CallerRequest("", "", "GET", "/", call.key, None, (), b"")
+
+
+def _settings_text(load: CallerLoad, name: str, domain: str) -> str:
+    regions = "\n".join(f"{domain} = {region_of(domain)}" for domain in load.site.rates)
+    return (
+        f"[vm]\nname = {name}\ndomain = {domain}\nregion = {region_of(domain)}\n"
+        "[listen]\ncallers = 10.0.0.1:1\nready = 10.0.0.1:2\nlookups = 10.0.0.1:3\n"
+        "admin = 10.0.0.1:4\nports = 5,6\n[store]\naddress = 10.0.0.1:7\n"
+        "[bounds]\nlookup_life = 5s\nstop = 6s\n"
+        f"[regions]\n{regions}\n"
+    )
+
+
+def _list_objects(state: GatewayState, load: CallerLoad) -> None:
+    """Give a state the configuration and the targets of a site."""
+    site = load.site
+    route = {
+        "name": "reports",
+        "path_prefix": "/",
+        "kind": "idempotent",
+        "timeout": f"{int(site.timeout * 1000)}ms",
+        "target_latency": f"{int(site.aim * 1000)}ms",
+        "service": _SERVICE,
+        "max_attempts": 2,
+        "sticky": True,
+    }
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1048576,
+        "header_timeout": "3s",
+        "idle_timeout": "15s",
+    }
+    configuration = {
+        "version": "r1",
+        "services": [{"name": _SERVICE, "max_conns": 700}],
+        "limits": limits,
+        "virtual_hosts": [{"host": "stones.example", "paths": [route]}],
+    }
+    targets = [
+        (
+            target.name,
+            {
+                "service": _SERVICE,
+                "address": "10.0.1.1:80",
+                "zone": target.domain,
+                "max_concurrency": site.slots,
+                "state": "ready",
+            },
+        )
+        for target in load.targets.values()
+    ]
+    for kind, objects in (
+        (ObjectKind.CONFIGURATION, [("main", configuration)]),
+        (ObjectKind.TARGETS, targets),
+    ):
+        stored = tuple(
+            parse_object({"metadata": {"name": name, "revision": 10}, "spec": spec})
+            for name, spec in objects
+        )
+        state.replicas[kind].apply_listing(ObjectListing(10, stored))
