Ask refused callers back soon; let late requests queue for a little longer

Load: a demand above the slots that lasts. Callers were spread over the third of their time in which they may come back, to spare them a second refusal; and a request whose answer would be late in any case queued for 0.3 of its target latency at most.

Conclusion: what spread-out returns saved in second refusals they lost in time; what is refused of late is no longer counted.

--- a/benchmarks/tests/test_caller_load.py
+++ b/benchmarks/tests/test_caller_load.py
@@ -12,6 +12,7 @@
     LeastLoaded,
     NearestOnly,
     RandomTarget,
+    ReturnLate,
     SecondWhileFull,
     Steered,
 )
@@ -58,5 +59,9 @@
     assert played(Steered, heavy).refusals < played(SecondWhileFull, heavy).refusals
 
 
+def test_callers_that_are_asked_back_soon_get_more_than_those_that_are_spread_out():
+    assert played(Steered, heavy).worth > played(ReturnLate, heavy).worth + 0.01
+
+
 def test_callers_get_about_what_affinity_alone_gives_while_most_stay_in_their_region():
     assert played(Steered).worth > played(AffinityOnly).worth - 0.05
--- a/packages/core/src/carawayquay/refusals.py
+++ b/packages/core/src/carawayquay/refusals.py
@@ -12,14 +12,11 @@
 __all__ = ["longest_wait", "retry_after"]
 
 #: Part of a request's target latency for which it may queue where the answer is late anyway.
-_LATE_WAIT_PART = 0.3
+_LATE_WAIT_PART = 0.6
 
 #: Seconds after which a target is expected to be usable again.
 _NO_TARGET_WAIT = 0.5
 
-#: One over the part of refused requests from which a load counts as lasting.
-_LASTING_FACTOR = 4.0
-
 _LEAST_RETRY_AFTER = 0.05
 _MOST_RETRY_AFTER = 2.0
 
@@ -43,20 +40,16 @@
     return min(max(in_time, short), left - work)
 
 
-def retry_after(wait: float | None, refused_part: float, left: float, random: Random) -> float:
+def retry_after(wait: float | None, left: float, random: Random) -> float:
     """Return the seconds after which a refused caller should come back.
 
-    A queue that is a little too long is short again soon, and the answer may still be in time.
-    Where many are refused the load lasts, and a caller that comes back soon is refused again, so
-    callers are spread over the time in which they may come back at all.
+    A queue that is a little too long is short again soon, and the answer may still be in time. That
+    holds under a lasting load too: who comes back late is as likely to be refused again, and late.
 
     :param wait: seconds until room is expected, or None if no target can be used
-    :param refused_part: the part of the service's late requests that were refused, 0 to 1
     :param left: seconds until the caller gives up
     """
     latest = min(_REMAINING_PART * left, _MOST_RETRY_AFTER)
     expected = _NO_TARGET_WAIT if wait is None else wait
     soon = _LEAST_RETRY_AFTER + expected * (1.0 + random.random())
-    lasting = min(1.0, _LASTING_FACTOR * refused_part)
-    spread = lasting * latest * (0.5 + 0.5 * random.random())
-    return max(0.0, min(latest, max(soon, spread)))
+    return max(0.0, min(latest, soon))
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -214,9 +214,7 @@
             if exchange.left(now) <= 0:
                 return self._finish_late(exchange)
             return self._answers.end(exchange, ErrorKind.TARGET_FAILED, "no whole answer")
-        service = self._state.service(exchange.service)
-        service.count_refusal(now)
-        after = retry_after(wait, service.refused_part(now), exchange.left(now), self._random)
+        after = retry_after(wait, exchange.left(now), self._random)
         if wait is None:
             return self._answers.end(exchange, ErrorKind.NO_TARGET, "no target", after)
         return self._answers.end(exchange, ErrorKind.OVERLOADED, "no room", after)
--- a/packages/gateway/src/carawayquay_gateway/service_state.py
+++ b/packages/gateway/src/carawayquay_gateway/service_state.py
@@ -15,7 +15,7 @@
 
 __all__ = ["ServiceState"]
 
-#: Span over which requests and refusals are counted.
+#: Span over which requests are counted.
 _WINDOW = timedelta(seconds=3)
 
 #: Weight of the present among the requests at a region's targets, as it is looked at.
@@ -32,7 +32,6 @@
             settings.retry_window, settings.retry_ratio, settings.retry_allowance
         )
         self._arrivals: deque[timedelta] = deque()
-        self._refusals: deque[timedelta] = deque()
         self._busy = 0.0
 
     def count_request(self, now: timedelta) -> None:
@@ -40,16 +39,6 @@
         self._arrivals.append(now)
         self.retries.count_request(now)
 
-    def count_refusal(self, now: timedelta) -> None:
-        """Count a request that was refused for lack of room."""
-        self._refusals.append(now)
-
-    def refused_part(self, now: timedelta) -> float:
-        """Return the part of the requests of late that were refused for lack of room."""
-        _expire(self._refusals, now)
-        _expire(self._arrivals, now)
-        return min(1.0, len(self._refusals) / max(1, len(self._arrivals)))
-
     def observe_busy(self, requests: int) -> float:
         """Take the requests at the region's targets now, and return their number of late."""
         self._busy += _BUSY_WEIGHT * (requests - self._busy)
