--- /dev/null
+++ b/packages/core/src/carawayquay/shard_replicas.py
@@ -0,0 +1,404 @@
+"""Replicas of claim shards: what the primary and the backup of a shard hold and may do."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from carawayquay.claim_maps import Assignment, Holder
+from carawayquay.claim_messages import (
+    NO_LOSS,
+    ClaimRecord,
+    ClaimState,
+    Replicate,
+    Replicated,
+    Verdict,
+)
+from carawayquay.claims import CLAIM_BYTES, Claim, Fresh, Repeat, unserved
+from carawayquay.errors import ErrorKind, RequestError
+from carawayquay.requests import Forwarded
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from carawayquay.claim_keys import BookingKey, ShardId
+    from carawayquay.clock import Clock
+
+__all__ = ["ShardReplica"]
+
+#: An answer with a larger body is not kept for repeats.
+MAX_KEPT_BODY_BYTES = 64 * 1024
+
+#: Memory that the claims of one shard may take.
+MAX_SHARD_BYTES = 1024 * 1024
+
+#: Time for which a released claim outranks the messages that claimed it.
+RELEASED_FOR = timedelta(seconds=30)
+
+#: A refill is sent in messages of so many records.
+REFILL_RECORDS = 64
+
+#: A primary that has not confirmed its epoch for this fraction of a key's life serves no plain key.
+_CONFIRM_FRACTION = 4
+
+
+class ShardReplica:
+    """The claims of one shard at one of its holders."""
+
+    def __init__(self, shard: ShardId, me: Holder) -> None:
+        self._shard = shard
+        self._me = me
+        self._assignment: Assignment | None = None
+        self._claims: dict[str, Claim] = {}
+        self._size = 0
+        self._sequence = 0
+        self._complete = False
+        self._complete_since = 0
+        self._lost_at: timedelta | None = None
+        self._filled = False
+        self._refused = False
+
+    @property
+    def shard(self) -> ShardId:
+        """The shard."""
+        return self._shard
+
+    @property
+    def epoch(self) -> int:
+        """The newest epoch that this holder knows, or 0."""
+        return self._assignment.epoch if self._assignment else 0
+
+    @property
+    def assignment(self) -> Assignment | None:
+        """Who holds the shard in the newest known epoch."""
+        return self._assignment
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether this holder is the primary of the newest known epoch."""
+        return self._assignment is not None and self._assignment.primary == self._me
+
+    @property
+    def is_backup(self) -> bool:
+        """Whether this holder is the backup of the newest known epoch."""
+        return self._assignment is not None and self._assignment.backup == self._me
+
+    @property
+    def complete(self) -> bool:
+        """Whether this holder has every claim that was dispatched since ``complete_since``."""
+        return self._complete
+
+    @property
+    def claims(self) -> int:
+        """The number of claims that are held."""
+        return len(self._claims)
+
+    @property
+    def idle(self) -> bool:
+        """Whether the backup holds every claim and no claimed request is in flight."""
+        states = (claim.state for claim in self._claims.values())
+        return self.ready and ClaimState.CLAIMED not in states
+
+    @property
+    def ready(self) -> bool:
+        """Whether this holder is the primary and its backup holds every claim."""
+        return self.is_primary and self._filled
+
+    @property
+    def refused(self) -> bool:
+        """Whether the backup refuses this primary's claims."""
+        return self.is_primary and self._refused
+
+    def get(self, key: str) -> Claim | None:
+        """Return the claim on a key, or None."""
+        return self._claims.get(key)
+
+    def may_dispatch(self, claim: Claim) -> bool:
+        """Return whether a claim's request may be sent on now.
+
+        The backup must have acknowledged the claim in the epoch that is still this primary's own.
+        """
+        return (
+            self.ready
+            and self._claims.get(claim.key) is claim
+            and claim.state is ClaimState.CLAIMED
+            and not claim.dispatched
+            and claim.acknowledged == self.epoch
+        )
+
+    def confirmed(self, key: BookingKey, life: timedelta, age: timedelta) -> bool:
+        """Return whether the epoch was confirmed lately enough to serve a key.
+
+        :param age: time since the store was last known to hold this epoch
+        """
+        return key.minted or age <= life / _CONFIRM_FRACTION
+
+    # Commands of both roles
+
+    def adopt(self, assignment: Assignment, now: timedelta) -> None:
+        """Take up or lay down a role with a newer epoch; an older one changes nothing.
+
+        A primary counts as complete only if it was so in the epoch before and the map says that
+        nothing was lost; it does not matter who wrote the map.
+        """
+        held = self._assignment
+        if held is not None and assignment.epoch <= held.epoch:
+            return
+        continuous = (
+            self._complete and assignment.epoch == self.epoch + 1
+        ) and assignment.complete_since < assignment.epoch
+        was_primary = self.is_primary
+        self._assignment = assignment
+        self._filled = False
+        self._refused = False
+        if not self.is_primary:
+            self._complete = False
+            self._forget_all()
+            return
+        self._complete = True
+        if not was_primary:
+            self._undecide_all(now)
+        if not continuous:
+            self._complete_since = assignment.epoch
+            self._lost_at = now if assignment.epoch > 1 else None
+
+    def expire(self, now: timedelta) -> None:
+        """Forget the claims whose life is over."""
+        claims = self._claims.values()
+        over = [c for c in claims if c.expires_at is not None and c.expires_at <= now]
+        for claim in over:
+            self._remove(claim)
+
+    # Commands of the backup
+
+    def receive(self, message: Replicate, now: timedelta) -> Replicated:
+        """Take what a primary sends if it is the primary of the newest known epoch.
+
+        A backup that took over knows a newer one, which seals the epoch of the old primary.
+        """
+        return Replicated(self._receive(message, now), self.epoch)
+
+    def _receive(self, message: Replicate, now: timedelta) -> Verdict:
+        if message.epoch > self.epoch:
+            return Verdict.NOT_READY
+        sender = Holder(message.vm, message.incarnation)
+        known = self._assignment is not None and self._assignment.primary == sender
+        if message.epoch < self.epoch or not known or not self.is_backup:
+            return Verdict.REFUSED
+        for record in message.records:
+            self._apply(record, now)
+        self._complete_since = message.complete_since
+        self._lost_at = None
+        if message.loss_age_ms != NO_LOSS:
+            self._lost_at = now - timedelta(milliseconds=message.loss_age_ms)
+        self._complete = self._complete or message.filled
+        return Verdict.ACCEPTED
+
+    def _apply(self, record: ClaimRecord, now: timedelta) -> None:
+        held = self._claims.get(record.key)
+        self._sequence = max(self._sequence, record.sequence)
+        if held is not None and held.sequence >= record.sequence:
+            return
+        life = timedelta(milliseconds=record.life_ms)
+        claim = Claim(record.key, record.fingerprint, life, record.sequence, record.state)
+        if record.state is not ClaimState.CLAIMED:
+            claim.expires_at = now + life
+        if record.state is ClaimState.DONE:
+            claim.answer = Forwarded(record.status, record.headers, record.body, record.target)
+        self._put(claim)
+
+    # Commands of the primary
+
+    def admit(
+        self,
+        key: BookingKey,
+        fingerprint: bytes,
+        life: timedelta,
+        attempt: int,
+        age: timedelta,
+        now: timedelta,
+    ) -> Fresh | Repeat | Forwarded:
+        """Claim a key, or return what is known of its earlier claim.
+
+        :param life: how long the service's document keeps a key
+        :param attempt: the caller's count of sending the booking, 0 if not said
+        :param age: time since the store was last known to hold this epoch
+        :raises RequestError: if the key may not be claimed
+        """
+        if not self.is_primary:
+            raise unserved(attempt, f'shard "{self._shard}" has another primary')
+        claim = self._claims.get(key.text)
+        if claim is not None and claim.state is not ClaimState.RELEASED:
+            return _known(claim, fingerprint)
+        self._check_claimable(key, life, attempt, age, now)
+        claim = Claim(key.text, fingerprint, life, self._next_sequence())
+        self._put(claim)
+        return Fresh(claim)
+
+    def acknowledge(self, epoch: int, records: list[ClaimRecord]) -> None:
+        """Note that the backup accepted records in an epoch."""
+        for record in records:
+            claim = self._claims.get(record.key)
+            if claim is not None and claim.sequence == record.sequence:
+                claim.acknowledged = epoch
+
+    def dispatch(self, claim: Claim) -> None:
+        """Note that a claim's request is sent on."""
+        claim.dispatched = True
+
+    def finish(self, claim: Claim, answer: Forwarded, now: timedelta) -> None:
+        """Keep the answer of a claim's request for repeats."""
+        size = len(answer.body)
+        if size > MAX_KEPT_BODY_BYTES or self._size + size > MAX_SHARD_BYTES:
+            answer = Forwarded(0, [], b"", answer.target)
+        self._end(claim, ClaimState.DONE, now + claim.life, answer)
+
+    def undecide(self, claim: Claim, now: timedelta) -> None:
+        """Note that nobody knows whether a claim's request ran."""
+        self._end(claim, ClaimState.UNDECIDED, now + claim.life)
+
+    def release(self, claim: Claim, now: timedelta) -> None:
+        """Give up a claim whose request certainly did not run and will not run."""
+        self._end(claim, ClaimState.RELEASED, now + min(claim.life, RELEASED_FOR))
+
+    def filled(self, epoch: int) -> None:
+        """Note that the backup holds every claim in an epoch."""
+        self._filled = self._filled or epoch == self.epoch
+
+    def refuse(self, epoch: int) -> None:
+        """Note that the backup refused this primary's claims in an epoch."""
+        self._refused = self._refused or epoch == self.epoch
+
+    def message(
+        self, records: list[ClaimRecord], now: timedelta, *, filled: bool = False
+    ) -> Replicate:
+        """Return the message that carries records to the backup."""
+        age = NO_LOSS
+        if self._lost_at is not None:
+            age = int((now - self._lost_at).total_seconds() * 1000)
+        return Replicate(
+            domain=self._shard.domain,
+            shard=self._shard.number,
+            epoch=self.epoch,
+            vm=self._me.vm,
+            incarnation=self._me.incarnation,
+            filled=filled,
+            complete_since=self._complete_since,
+            loss_age_ms=age,
+            records=records,
+        )
+
+    def refill(self, clock: Clock) -> Iterator[Replicate]:
+        """Yield the messages that give a backup every claim; the last one says so.
+
+        It ends early when the epoch changes.
+        """
+        epoch = self.epoch
+        keys = list(self._claims)
+        for start in range(0, len(keys), REFILL_RECORDS):
+            if self.epoch != epoch:
+                return
+            now = clock.now()
+            claims = [self._claims.get(key) for key in keys[start : start + REFILL_RECORDS]]
+            yield self.message([claim.record(now) for claim in claims if claim], now)
+        if self.epoch == epoch:
+            yield self.message([], clock.now(), filled=True)
+
+    def unacknowledged(self, now: timedelta) -> list[ClaimRecord]:
+        """Return ended claims that the backup did not yet acknowledge, at most one message full."""
+        claims = [
+            claim
+            for claim in self._claims.values()
+            if claim.state is not ClaimState.CLAIMED and claim.acknowledged != self.epoch
+        ]
+        return [claim.record(now) for claim in claims[:REFILL_RECORDS]]
+
+    def _check_claimable(
+        self, key: BookingKey, life: timedelta, attempt: int, age: timedelta, now: timedelta
+    ) -> None:
+        """Refuse a new key that may have been claimed where this primary cannot know.
+
+        :raises RequestError: if so, or if there is no room
+        """
+        if key.epoch is not None and key.epoch > self.epoch:
+            detail = f'shard "{self._shard}" knows epoch {self.epoch}, the key names {key.epoch}'
+            raise unserved(attempt, detail)
+        if not self.confirmed(key, life, age):
+            raise unserved(attempt, f'epoch of shard "{self._shard}" is not confirmed')
+        if key.epoch is not None:
+            lost = key.epoch < self._complete_since
+        else:
+            lost = self._lost_at is not None and now - self._lost_at < life
+        if lost and attempt == 1:
+            raise unserved(attempt, f'shard "{self._shard}" lost the claims of this key\'s time')
+        if lost:
+            detail = f'shard "{self._shard}" lost the claims of this key\'s time'
+            raise RequestError(ErrorKind.KEY_UNDECIDED, detail)
+        if self._size + CLAIM_BYTES > MAX_SHARD_BYTES:
+            raise _full(attempt, self._shard)
+
+    def _end(
+        self,
+        claim: Claim,
+        state: ClaimState,
+        expires_at: timedelta,
+        answer: Forwarded | None = None,
+    ) -> None:
+        held = self._claims.get(claim.key) is claim
+        if held:
+            self._remove(claim)
+        claim.state = state
+        claim.sequence = self._next_sequence()
+        claim.acknowledged = 0
+        claim.expires_at = expires_at
+        claim.answer = answer
+        if held:
+            self._put(claim)
+
+    def _undecide_all(self, now: timedelta) -> None:
+        for claim in list(self._claims.values()):
+            if claim.state is ClaimState.CLAIMED:
+                self.undecide(claim, now)
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _put(self, claim: Claim) -> None:
+        held = self._claims.get(claim.key)
+        if held is not None:
+            self._remove(held)
+        self._claims[claim.key] = claim
+        self._size += claim.size
+
+    def _remove(self, claim: Claim) -> None:
+        del self._claims[claim.key]
+        self._size -= claim.size
+
+    def _forget_all(self) -> None:
+        self._claims.clear()
+        self._size = 0
+
+
+def _known(claim: Claim, fingerprint: bytes) -> Repeat | Forwarded:
+    """Return what is known of a claimed key.
+
+    :raises RequestError: if it stands for another request, or its answer is not known
+    """
+    if claim.fingerprint != fingerprint:
+        raise RequestError(ErrorKind.KEY_REUSED, f'key "{claim.key}" stands for another request')
+    match claim.state:
+        case ClaimState.CLAIMED:
+            return Repeat(claim)
+        case ClaimState.DONE if claim.answer is not None and claim.answer.status:
+            return claim.answer
+        case ClaimState.DONE:
+            detail = f'key "{claim.key}" has run; its answer was too large to keep'
+            raise RequestError(ErrorKind.ANSWER_TOO_LARGE, detail)
+    raise RequestError(ErrorKind.KEY_UNDECIDED, f'key "{claim.key}" may have run')
+
+
+def _full(attempt: int, shard: ShardId) -> RequestError:
+    if attempt == 1:
+        return RequestError(ErrorKind.OVERLOADED, f'shard "{shard}" holds no more claims')
+    return unserved(attempt, f'shard "{shard}" holds no more claims')
--- a/packages/core/tests/claim_network.py
+++ b/packages/core/tests/claim_network.py
@@ -9,10 +9,11 @@
 from carawayquay.claim_keys import SHARDS, BookingKey, ShardId
 from carawayquay.claim_maps import Assignment, Holder, MapPlanner, ShardMap
 from carawayquay.claim_messages import Replicate, Verdict
-from carawayquay.claims import Claim, Fresh, ShardReplica
+from carawayquay.claims import Claim, Fresh
 from carawayquay.clock import ManualClock
 from carawayquay.errors import ErrorKind, RequestError
 from carawayquay.requests import Forwarded
+from carawayquay.shard_replicas import ShardReplica
 
 SHARD = ShardId("puget-a", 0)
 LIFE = timedelta(seconds=600)
--- a/packages/core/tests/test_discovery.py
+++ b/packages/core/tests/test_discovery.py
@@ -5,23 +5,12 @@
 from datetime import timedelta
 
 import attrs
+from target_builders import registered_target
 
-from carawayquay.discovery import RegisteredTarget, TargetRegistry, TargetState
-from carawayquay.membership import Address
+from carawayquay.discovery import TargetRegistry, TargetState
 
 NOW = timedelta(seconds=100)
-TARGET = RegisteredTarget(
-    name="i-1",
-    service="granite",
-    address=Address("10.0.0.1", 80),
-    domain="puget-a",
-    region="puget",
-    slots=4,
-    state=TargetState.READY,
-    cold_for=timedelta(),
-    incarnation=5,
-    sequence=3,
-)
+TARGET = registered_target(incarnation=5, sequence=3)
 
 
 def _registry(*targets):
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from target_builders import registered_target
 
-from carawayquay.discovery import RegisteredTarget, TargetState
-from carawayquay.membership import Address
 from carawayquay.placement import Candidate, Placed, Refused, WorkTimes, cheapest
 from carawayquay.target_stats import TargetStats
 
@@ -13,18 +11,7 @@
 
 
 def _candidate(name, *, running=0, warm=True, **changes):
-    target = RegisteredTarget(
-        name=name,
-        service="s",
-        address=Address("10.0.0.1", 80),
-        domain="a",
-        region="west",
-        slots=4,
-        state=TargetState.READY,
-        cold_for=timedelta(),
-        incarnation=1,
-    )
-    return Candidate(target, TargetStats(**changes), running, warm, 0.001)
+    return Candidate(registered_target(name), TargetStats(**changes), running, warm, 0.001)
 
 
 def _choose(*candidates, most_wait=0.12):
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_shard_replicas.py
@@ -9,15 +9,15 @@
 
 from carawayquay.claim_keys import BookingKey
 from carawayquay.claim_messages import Verdict
-from carawayquay.claims import (
+from carawayquay.claims import Repeat
+from carawayquay.errors import ErrorKind, RequestError
+from carawayquay.requests import Forwarded
+from carawayquay.shard_replicas import (
     MAX_KEPT_BODY_BYTES,
     MAX_SHARD_BYTES,
     REFILL_RECORDS,
-    Repeat,
     ShardReplica,
 )
-from carawayquay.errors import ErrorKind, RequestError
-from carawayquay.requests import Forwarded
 
 
 def minted(epoch, text="key"):
--- a/packages/core/tests/test_target_pools.py
+++ b/packages/core/tests/test_target_pools.py
@@ -2,32 +2,16 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
-
 from hypothesis import given
 from hypothesis import strategies as st
+from target_builders import registered_target
 
-from carawayquay.discovery import RegisteredTarget, TargetState
-from carawayquay.membership import Address
 from carawayquay.rendezvous import ranked
 from carawayquay.target_pools import TargetPool
 
 
 def _targets(count):
-    return tuple(
-        RegisteredTarget(
-            name=f"t{index}",
-            service="granite",
-            address=Address("10.0.0.1", 80 + index),
-            domain="puget-a",
-            region="puget",
-            slots=4,
-            state=TargetState.READY,
-            cold_for=timedelta(),
-            incarnation=1,
-        )
-        for index in range(count)
-    )
+    return tuple(registered_target(f"t{index}") for index in range(count))
 
 
 def _first(pool, key, usable=lambda _: True, count=1):
--- a/packages/daemon/src/carawayquayd/bookings.py
+++ b/packages/daemon/src/carawayquayd/bookings.py
@@ -16,9 +16,10 @@
 
 if TYPE_CHECKING:
     from carawayquay.claim_keys import BookingKey
-    from carawayquay.claims import Claim, ShardReplica
+    from carawayquay.claims import Claim
     from carawayquay.membership import EntryVM
     from carawayquay.requests import Forward
+    from carawayquay.shard_replicas import ShardReplica
     from carawayquay_wire.links import LinkPool
     from carawayquayd.claim_shards import ClaimShards
     from carawayquayd.state import NodeState
--- a/packages/daemon/src/carawayquayd/claim_shards.py
+++ b/packages/daemon/src/carawayquayd/claim_shards.py
@@ -19,9 +19,9 @@
     Replicated,
     Verdict,
 )
-from carawayquay.claims import Claim, ShardReplica
 from carawayquay.errors import LinkError, RequestError, StoreError
 from carawayquay.heartbeats import INTERVAL
+from carawayquay.shard_replicas import ShardReplica
 from carawayquay_wire.events import Event, EventLog
 from carawayquayd.holders import START_HOLD, HolderView
 from carawayquayd.key_mint import KeyMint
@@ -31,6 +31,7 @@
 
     from carawayquay.claim_maps import Assignment
     from carawayquay.claim_messages import ClaimRecord
+    from carawayquay.claims import Claim
     from carawayquay.membership import EntryVM
     from carawayquay_wire.links import LinkPool
     from carawayquay_wire.store import StoreClient
