Forget what late answers told of targets that had been removed

Found on reading the change: an answer that comes after its target's removal made the gateway know the target's speed and warm objects again, for good; a small leak in a process that runs for long. Every ten seconds what is left of targets that are gone is dropped. test_adoption.py, failed before.

--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -35,6 +35,9 @@
 #: How long the sums of other VMs' rates stand, which are themselves those of some seconds.
 _RATES_LIFE = timedelta(milliseconds=600)
 
+#: Time between two looks for what is left of targets that are gone.
+_PRUNE_INTERVAL = timedelta(seconds=10)
+
 #: Seconds of work that are assumed before a service has answered.
 _ASSUMED_LATENCY = 0.3
 
@@ -69,6 +72,7 @@
         self._names_of = -1
         self._rates = RegionRates()
         self._rates_until = timedelta()
+        self._prune_at = timedelta()
         self.store_failed_at: timedelta | None = None
         self.adoption = Adoption(self)
         self.replicas = self.adoption.replicas()
@@ -142,8 +146,16 @@
         """Apply what follows from the time that has passed."""
         self.peers.expire(now)
         self.adoption.remove_lapsed()
+        if now >= self._prune_at:
+            self._prune_at = now + _PRUNE_INTERVAL
+            self._forget_gone()
         self._update_shares(now)
 
+    def _forget_gone(self) -> None:
+        """Drop what answers told of targets that had been removed when they came."""
+        for name in [name for name in self._stats if self.targets.get(name) is None]:
+            self.forget_target(name)
+
     def _update_shares(self, now: timedelta) -> None:
         """Move the shares of requests that stay in their region."""
         if self.configuration is None:
--- a/packages/gateway/tests/test_adoption.py
+++ b/packages/gateway/tests/test_adoption.py
@@ -61,6 +61,19 @@
     assert state.targets.get("t1") is None
 
 
+def test_nothing_is_left_of_a_target_whose_last_answer_came_after_its_removal():
+    state, clock = _state()
+    state.stats("t1").running = 1
+    _list(state, 30)
+    assert state.running_here() == [("t1", 1)]
+    state.stats("t1").running = 0
+    state.warm_objects.note("t1", 7)
+    clock.advance(timedelta(seconds=11))
+    state.update(clock.now())
+    assert not state.warm_objects.targets(7)
+    assert "t1" not in state.dump()["targets"]
+
+
 def test_news_of_a_target_that_took_another_ones_place_is_understood():
     state, _ = _state()
     state.learn_warm([WarmObject(short_hash("t1"), 7)])
