--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -42,11 +42,9 @@
 _MEMBERS_AT_START = 8
 _START = timedelta(seconds=1)
 
-#: Datagrams that one VM sends in a second at the most, however many VMs there are.
-_MAX_DATAGRAMS_PER_SECOND = 150
-
-#: Time in which datagrams gather before they are taken together.
+#: Time in which datagrams gather before they are taken together, and their number at the most.
 _GATHER_SECONDS = 0.04
+_MAX_TOGETHER = 100
 
 #: Turns in which seeds are told of this VM though they have not been heard of.
 _SEED_TURNS = 3
@@ -101,7 +99,7 @@
     def _take_waiting(self) -> None:
         """Take what else has come, without a turn of the event loop for each datagram."""
         with suppress(BlockingIOError):
-            while True:
+            for _ in range(_MAX_TOGETHER):
                 self._take_datagram(*self._raw_sock.recvfrom(MAX_DATAGRAM_BYTES))
 
     def _take_datagram(self, data: bytes, address: tuple[str, int]) -> None:
@@ -133,10 +131,8 @@
     async def _send(self) -> None:
         while True:
             self._note_lost()
-            new_hosts = self._new_hosts()
-            hosts = self._next_hosts()
-            await self._send_to(new_hosts, _MEMBERS_AT_START)
-            await self._send_to(hosts, self._members_now())
+            await self._send_to(self._take_new_hosts(), _MEMBERS_AT_START)
+            await self._send_to(self._take_due_hosts(), self._members_now())
             await curio.sleep(_TURN_SECONDS)
             self._turn += 1
 
@@ -146,14 +142,14 @@
             return _MEMBERS_AT_START
         return 0 if self._turn % _MEMBERS_TURNS else _MEMBERS_IN_REPORT
 
-    def _new_hosts(self) -> list[str]:
+    def _take_new_hosts(self) -> list[str]:
         """Return the VMs that have not been told anything yet, which is done at once."""
         known = {peer.identity for peer in self._state.peers}
         new = known - self._told
         self._told = known
         return [vm.host for vm in new]
 
-    def _next_hosts(self) -> list[str]:
+    def _take_due_hosts(self) -> list[str]:
         """Return the VMs that are told in this turn, the farther ones less often."""
         hosts = []
         known = {self._state.identity.host}
