Keep the counts of VMs that report seldom until their next report

Found on reading the change: at 96 VMs of other regions reports come each 2.4 s, and counts were dropped after 2.5 s. With 20 VMs nothing changes. test_entry_peers.py, failed before.

--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -16,8 +16,10 @@
 
 __all__ = ["EntryPeers", "Peer", "RegionRates"]
 
-#: How long the in-flight counts of a report stand for the present.
+#: How long the in-flight counts of a report stand for the present, and for how many intervals
+#: between reports at least.
 _COUNTS_LIFE = timedelta(seconds=2.5)
+_COUNTS_INTERVALS = 1.5
 
 #: Silence after which a VM is forgotten.
 _MEMORY = timedelta(seconds=60)
@@ -158,7 +160,7 @@
         """Drop counts that are too old, and VMs that have been silent for long."""
         for peer in list(self._peers.values()):
             since = peer.learned if peer.heard is None else peer.heard
-            if now - since > _COUNTS_LIFE:
+            if now - since > max(_COUNTS_LIFE, _COUNTS_INTERVALS * peer.pace.interval):
                 self._forget_counts(peer.identity.name)
             if now - since > _MEMORY:
                 del self._peers[peer.identity.name]
--- a/packages/core/tests/test_entry_peers.py
+++ b/packages/core/tests/test_entry_peers.py
@@ -52,6 +52,17 @@
     assert peers.rates(later).total(1) == 0.0
 
 
+def test_counts_stand_until_the_next_report_where_reports_are_seldom():
+    peers = EntryPeers(OWN)
+    for number in range(100):
+        far = VMIdentity(f"c-{number}", f"10.1.0.{number}", "c", "east", 1)
+        peers.receive(_report(1, far, targets=(TargetCount(7, 1),)), NOW)
+    interval = next(iter(peers)).pace.interval
+    assert interval > timedelta(seconds=2)
+    peers.expire(NOW + interval + timedelta(seconds=0.3))
+    assert peers.running(7) == 100
+
+
 def test_leaving_vm_is_not_live():
     peers = EntryPeers(OWN)
     peers.receive(_report(leaving=True), NOW)
