Open connections on the event loop alone

Cause: curio's open_connection asks the resolver in a thread, also for IP addresses. A dial that was given up left its socket to the garbage collector.

Change: dial() opens a socket and connects it, as open_connection does after the resolver, and closes it on any failure; HTTP client, links and the check for crashes use it.

Tests: test_dialing.py; the test for threads fails with open_connection.

--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -9,6 +9,7 @@
 import curio
 
 from carawayquay_platform import headers
+from carawayquay_wire.dialing import dial
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http_client import HttpClient, HttpError
 
@@ -150,9 +151,8 @@
 
     async def _check_crash(self, target: RegisteredTarget, fingerprint: int) -> None:
         """Count a crash if a target whose connection broke takes no new one."""
-        host, port = target.address.host, target.address.port
         try:
-            sock = await curio.timeout_after(_CHECK_SECONDS, curio.open_connection, host, port)
+            sock = await curio.timeout_after(_CHECK_SECONDS, dial, target.address)
         except (OSError, curio.TaskTimeout):
             now = self._state.clock.now()
             count = self._crashes.crash(fingerprint, now)
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -15,6 +15,7 @@
 
 from carawayquay.clock import MonotonicClock
 from carawayquay.errors import CarawayquayError
+from carawayquay_wire.dialing import dial
 from carawayquay_wire.http import HttpRequest, HttpResponse
 
 if TYPE_CHECKING:
@@ -276,9 +277,7 @@
     async def _dial(self, address: Address) -> HttpConnection:
         started = time.monotonic()
         try:
-            sock = await curio.timeout_after(
-                self._dial_seconds, curio.open_connection, address.host, address.port
-            )
+            sock = await curio.timeout_after(self._dial_seconds, dial, address)
         except (OSError, curio.TaskTimeout) as error:
             raise HttpError(
                 f"cannot connect to {address}: {error}",
--- a/packages/wire/src/carawayquay_wire/links.py
+++ b/packages/wire/src/carawayquay_wire/links.py
@@ -14,6 +14,7 @@
 from carawayquay.errors import ErrorKind, FrameError, LinkError, RequestError
 from carawayquay.requests import Refused
 from carawayquay_wire import codec
+from carawayquay_wire.dialing import dial
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.frames import Frame, FrameReader, Role, encode_frame
 
@@ -307,9 +308,7 @@
     async def _dial(self, address: Address) -> Link:
         try:
             async with curio.timeout_after(_DIAL_TIMEOUT.total_seconds()):
-                sock = await curio.open_connection(
-                    address.host, address.port, source_addr=self._source
-                )
+                sock = await dial(address, self._source)
         except (OSError, curio.TaskTimeout) as error:
             raise LinkError(f"cannot connect to {address}: {error}", sent=False) from error
         link = Link(sock, self._handler, self._clock)
--- /dev/null
+++ b/packages/wire/tests/test_dialing.py
@@ -0,0 +1,61 @@
+"""Connections are opened without a thread, and leave nothing behind where that fails."""
+
+from __future__ import annotations
+
+import os
+import threading
+
+import curio
+import pytest
+from curio.network import run_server, tcp_server_socket
+
+from carawayquay.membership import Address
+from carawayquay_wire.dialing import dial
+
+
+async def _echo(sock, _):
+    await sock.sendall(await sock.recv(100))
+
+
+def _descriptors():
+    return len(os.listdir("/proc/self/fd"))
+
+
+def test_connection_is_opened_on_the_event_loop_alone():
+    async def check():
+        listener = tcp_server_socket("127.0.0.1", 0)
+        await curio.spawn(run_server, listener, _echo, daemon=True)
+        threads = threading.active_count()
+        sock = await dial(Address("127.0.0.1", listener.getsockname()[1]), ("127.0.0.5", 0))
+        assert threading.active_count() == threads
+        assert sock.getsockname()[0] == "127.0.0.5"
+        await sock.sendall(b"hello")
+        assert await sock.recv(100) == b"hello"
+        await sock.close()
+
+    curio.run(check)
+
+
+def test_refused_connection_leaves_no_descriptor():
+    async def check():
+        before = _descriptors()
+        with pytest.raises(ConnectionRefusedError):
+            await dial(Address("127.0.0.1", 1))
+        assert _descriptors() == before
+
+    curio.run(check)
+
+
+def test_connection_that_is_given_up_leaves_no_descriptor():
+    async def check():
+        listener = tcp_server_socket("127.0.0.1", 0, backlog=1)
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        held = [await dial(address) for _ in range(2)]
+        before = _descriptors()
+        with pytest.raises(curio.TaskTimeout):
+            await curio.timeout_after(0.2, dial, address)
+        assert _descriptors() == before
+        for sock in held:
+            await sock.close()
+
+    curio.run(check)
