--- a/packages/gateway/tests/test_entry.py
+++ b/packages/gateway/tests/test_entry.py
@@ -46,24 +46,16 @@
     run(check)
 
 
-def test_entry_whose_write_was_not_confirmed_is_removed_at_a_planned_stop():
+@pytest.mark.parametrize(("incarnation", "left"), [(1, False), (9, True)])
+def test_unconfirmed_entry_is_removed_at_a_planned_stop_unless_it_is_another_starts(
+    incarnation, left
+):
     async def check():
         store, state = PlatformStoreStandIn(), new_state()
         keeper = await _keeper(store, state)
-        await store.put(KIND, "puget-a-1", entry_vm_spec(state.identity))
+        await store.put(KIND, "puget-a-1", entry_vm_spec(identity(incarnation=incarnation)))
         await keeper.remove()
-        assert store.object(KIND, "puget-a-1") is None
-
-    run(check)
-
-
-def test_entry_of_another_start_is_left_at_a_planned_stop():
-    async def check():
-        store, state = PlatformStoreStandIn(), new_state()
-        keeper = await _keeper(store, state)
-        await store.put(KIND, "puget-a-1", entry_vm_spec(identity(incarnation=9)))
-        await keeper.remove()
-        assert store.object(KIND, "puget-a-1") is not None
+        assert (store.object(KIND, "puget-a-1") is not None) == left
 
     run(check)
 
