Read the configuration part by part, so that what is not understood costs only itself

Beside it, found by the properties below: a duration of 400 digits, an unreadable last object of a page, a document nested past the parser's depth and a text with a line break or a lone surrogate each ended the watcher, and with it the process.

Ruled out: adding the one kind only (the next unknown word would do the same); falling to a shorter prefix (runs at a service nobody meant).

Change: the reader gives a draft of what can be read and remarks on the rest; the core decides what follows: the last good version of the part stays, unknown kinds run at most once, unknown fields are passed over, and without a last good version requests get 503 unread-route, not 404. Targets, settings and reports of other versions likewise. Each remark is logged once a version, counted, and stands in the state dump.

--- a/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
+from carawayquay.configuration_drafts import configure
 from carawayquay.discovery import RegisteredTarget, TargetRegistry, TargetState
 from carawayquay.entry_peers import EntryPeers
 from carawayquay.load_reports import LoadReport, TargetCount, VMIdentity, WarmObject
@@ -93,11 +94,11 @@
 
 def _read_work(routes: int) -> Callable[[], Any]:
     value = _configuration_value(routes)
-    return lambda: parse_configuration(value)
+    return lambda: configure(parse_configuration(value))
 
 
 def _configuration(routes: int) -> Any:
-    return parse_configuration(_configuration_value(routes))
+    return configure(parse_configuration(_configuration_value(routes)))
 
 
 def _report(targets: int, vm: VMIdentity = _OWN) -> LoadReport:
--- a/packages/core/src/carawayquay/errors.py
+++ b/packages/core/src/carawayquay/errors.py
@@ -59,6 +59,7 @@
     STOPPING = "stopping"
     UNCONFIGURED = "unconfigured"
     UNKNOWN_ROUTE = "unknown-route"
+    UNREAD_ROUTE = "unread-route"
     CRASHES_TARGETS = "crashes-targets"
     TIMED_OUT_UNSENT = "timed-out-unsent"
     TARGET_FAILED = "target-failed"
@@ -105,6 +106,7 @@
     ErrorKind.STOPPING: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.UNCONFIGURED: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.UNKNOWN_ROUTE: Answer(404, Outcome.NOT_RUN),
+    ErrorKind.UNREAD_ROUTE: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.CRASHES_TARGETS: Answer(503, Outcome.NOT_RUN),
     ErrorKind.TIMED_OUT_UNSENT: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.TARGET_FAILED: Answer(502, Outcome.UNKNOWN),
--- a/packages/core/src/carawayquay/routes.py
+++ b/packages/core/src/carawayquay/routes.py
@@ -16,15 +16,17 @@
     "RouteKind",
     "ServiceSpec",
     "TrafficLimits",
+    "UnreadRoutes",
     "WeightedService",
 ]
 
 
 class RouteKind(enum.Enum):
-    """Whether requests of a route may run more than once."""
+    """Whether requests of a route may run more than once, and whether their answers are large."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non-idempotent"
+    DOWNLOAD = "download"
 
 
 @attrs.frozen
@@ -65,7 +67,38 @@
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is RouteKind.IDEMPOTENT
+        return self.kind is not RouteKind.NON_IDEMPOTENT
+
+
+@attrs.frozen
+class UnreadRoutes:
+    """Where a route stands that could not be read, or all routes of a host, or all routes.
+
+    :param host: empty if that could not be read
+    :param path_prefix: empty if that could not be read
+    :param name: the route's name, empty if that could not be read
+    :param every: whether all routes of the host stand there, or of all hosts if it is empty
+    """
+
+    host: str = ""
+    path_prefix: str = ""
+    name: str = ""
+    every: bool = False
+
+    @property
+    def place(self) -> tuple[str, str]:
+        """The host and the prefix whose requests are concerned."""
+        return self.host.lower(), self.path_prefix
+
+    def replaced(self, route: Route) -> bool:
+        """Return whether a route of an earlier version is the one that stood here."""
+        if self.host and self.host.lower() != route.host.lower():
+            return False
+        if self.every:
+            return True
+        if self.path_prefix:
+            return bool(self.host) and self.path_prefix == route.path_prefix
+        return bool(self.name) and self.name == route.name
 
 
 @attrs.frozen
@@ -106,28 +139,40 @@
         routes: tuple[Route, ...],
         services: tuple[ServiceSpec, ...],
         limits: TrafficLimits,
+        unread: tuple[UnreadRoutes, ...] = (),
     ) -> None:
         self.version = version
         self.limits = limits
         self.routes = routes
+        self.unread = unread
         self._services = {service.name: service for service in services}
-        self._by_host: dict[str, dict[str, Route]] = {}
+        self._by_host: dict[str, dict[str, Route | UnreadRoutes]] = {}
         for route in routes:
             self._by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        for place in unread:
+            host, prefix = place.place
+            self._by_host.setdefault(host, {}).setdefault(prefix, place)
 
     def service(self, name: str) -> ServiceSpec | None:
         """Return what the configuration says of a service, or None if it names no such one."""
         return self._services.get(name)
 
+    @property
+    def services(self) -> tuple[ServiceSpec, ...]:
+        """What the configuration says of each service."""
+        return tuple(self._services.values())
+
     @property
     def service_names(self) -> tuple[str, ...]:
         """The names of the services."""
         return tuple(self._services)
 
-    def find(self, host: str, path: str) -> Route | None:
+    def find(self, host: str, path: str) -> Route | UnreadRoutes | None:
         """Return the route with the longest prefix of a path, or None if there is none.
 
-        Prefixes end with a slash, so a look-up tries the path up to each of its slashes.
+        Prefixes end with a slash, so a look-up tries the path up to each of its slashes. Where the
+        route could not be read, or where no route is found and one that could not be read may be
+        meant, the place of that one is returned.
 
         :param host: with or without a port
         :param path: with or without a query
@@ -135,12 +180,11 @@
         prefixes = self._by_host.get(host.rpartition(":")[0].lower() if ":" in host else host)
         if prefixes is None:
             prefixes = self._by_host.get(host.partition(":")[0].lower())
-        if prefixes is None:
-            return None
         path = path.partition("?")[0]
-        end = len(path)
+        end = len(path) if prefixes is not None else 0
         while (end := path.rfind("/", 0, end)) >= 0:
             route = prefixes.get(path[: end + 1])
             if route is not None:
                 return route
-        return None
+        unread = prefixes.get("") if prefixes is not None else None
+        return unread or self._by_host.get("", {}).get("")
--- a/packages/core/src/carawayquay/settings.py
+++ b/packages/core/src/carawayquay/settings.py
@@ -26,6 +26,7 @@
     "parse_duration",
     "parse_settings",
     "parse_table",
+    "parse_table_leniently",
     "read_settings",
 ]
 
@@ -183,10 +184,14 @@
 
 @attrs.frozen
 class ParsedSettings:
-    """Checked values by attribute, and the keys of the sections that may hold any keys."""
+    """Checked values by attribute, and the keys of the sections that may hold any keys.
+
+    :param problems: one sentence for each thing that was not understood and passed over
+    """
 
     values: dict[str, Any]
     open_sections: dict[str, dict[str, str]]
+    problems: tuple[str, ...] = ()
 
 
 def parse_table(
@@ -197,6 +202,27 @@
     :param open_sections: sections that may hold any keys
     :raises SettingsError: with every problem, if there is one
     """
+    parsed = parse_table_leniently(text, table, open_sections)
+    if parsed.problems:
+        raise SettingsError(parsed.problems)
+    return parsed
+
+
+def parse_table_leniently(
+    text: str,
+    table: tuple[Setting, ...],
+    open_sections: tuple[str, ...] = (),
+    present: Any = None,
+) -> ParsedSettings:
+    """Read what can be read of a settings file.
+
+    A setting that can't be read keeps its present value; without one it takes its default. A file
+    that lacks a required setting is a broken one.
+
+    :param present: what holds present values by attribute, or None
+    :raises SettingsError: with every problem, if it is not INI, lacks a required setting, or one
+        has no value at all
+    """
     parser = configparser.ConfigParser(interpolation=None)
     parser.optionxform = str  # type: ignore[assignment]
     try:
@@ -204,20 +230,29 @@
     except configparser.Error as error:
         raise SettingsError((f"settings are not INI: {error}".replace("\n", " "),)) from error
     problems = _unknown_keys(parser, table, open_sections)
+    missing = False
     values: dict[str, Any] = {}
     for setting in table:
         raw = parser.get(setting.section, setting.key, fallback=setting.default)
         if raw is None:
             problems.append(f"[{setting.section}] {setting.key} is missing: {setting.allowed}")
+            missing = True
             continue
         try:
             values[setting.attribute] = _parse(setting, raw.strip())
-        except ValueError:
+        except (ValueError, OverflowError):
             problems.append(f"[{setting.section}] {setting.key} = {raw!r} is not {setting.allowed}")
-    if problems:
-        raise SettingsError(tuple(problems))
+    for setting in table:
+        if setting.attribute in values:
+            continue
+        if present is not None and not missing:
+            values[setting.attribute] = getattr(present, setting.attribute)
+        elif setting.default is not None and not missing:
+            values[setting.attribute] = _parse(setting, setting.default)
+        else:
+            raise SettingsError(tuple(problems))
     extra = {name: dict(parser[name]) for name in open_sections if parser.has_section(name)}
-    return ParsedSettings(values, extra)
+    return ParsedSettings(values, extra, tuple(problems))
 
 
 def _unknown_keys(
--- a/packages/gateway/src/carawayquay_gateway/adoption.py
+++ b/packages/gateway/src/carawayquay_gateway/adoption.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from carawayquay.configuration_drafts import configure
 from carawayquay.discovery import TargetState
 from carawayquay.errors import ObjectError
 from carawayquay_gateway.replicas import Adopter, Replica
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from carawayquay.discovery import RegisteredTarget, TargetChange
+    from carawayquay.remarks import Remark
     from carawayquay_gateway.state import GatewayState
 
 __all__ = ["Adoption"]
@@ -26,6 +28,12 @@
 #: Time in which a target that lapsed while the store was away is registered again if it lives.
 _LAPSED_FOR = timedelta(seconds=2)
 
+#: Log lines about one version of the configuration, beyond which remarks are only counted.
+_MAX_REMARK_LINES = 20
+
+#: Objects that are remembered as refused, as anybody may write some that can't be read.
+_MAX_REFUSED = 200
+
 
 class Adoption:
     """Applies the changes of each kind of object."""
@@ -33,6 +41,12 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._lapsed: dict[str, timedelta] = {}
+        self._refused: dict[str, str] = {}
+
+    @property
+    def refused(self) -> dict[str, str]:
+        """The objects that could not be read, by name, and why."""
+        return dict(self._refused)
 
     def replicas(self) -> dict[ObjectKind, Replica]:
         """Return empty copies of all kinds, whose changes are applied."""
@@ -53,30 +67,61 @@
     def _put_configuration(self, stored: StoredObject) -> None:
         if stored.name != CONFIGURATION_NAME:
             return
+        known = self._state.configuration
         try:
-            configuration = parse_configuration(stored.value)
+            draft = parse_configuration(stored.value)
+            if known is not None and draft.version is not None and draft.version < known.version:
+                raise ObjectError(f"version {draft.version} is before {known.version}")
         except ObjectError as error:
-            _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
+            self._refuse("configuration", stored.name, str(error))
             return
-        known = self._state.configuration
-        if known is not None and configuration.version <= known.version:
+        self._refused.pop(stored.name, None)
+        if known is not None and draft.version == known.version:
             return
+        configuration = configure(draft, known)
         self._state.configuration = configuration
+        self._state.remarks = draft.remarks
         _log.info(
             Event.OBJECT_ADOPTED,
             kind="configuration",
             version=configuration.version,
             revision=stored.revision,
             routes=len(configuration.routes),
+            remarks=len(draft.remarks),
         )
+        self._tell(draft.remarks, configuration.version)
+
+    def _tell(self, remarks: tuple[tuple[Remark, int], ...], version: int) -> None:
+        """Log and count what was not understood of a version, once."""
+        for remark, times in remarks[:_MAX_REMARK_LINES]:
+            _log.warning(
+                Event.PART_NOT_UNDERSTOOD,
+                version=version,
+                effect=remark.effect.value,
+                subject=remark.subject,
+                reason=remark.detail,
+                times=times,
+            )
+        for remark, _ in remarks:
+            self._state.metrics.count("configuration_remarks_total", effect=remark.effect.value)
+
+    def _refuse(self, kind: str, name: str, reason: str) -> None:
+        """Keep what was known of an object, and say so once for each reason."""
+        if self._refused.get(name) == reason:
+            return
+        if len(self._refused) < _MAX_REFUSED:
+            self._refused[name] = reason
+        self._state.metrics.count("objects_refused_total", kind=kind)
+        _log.warning(Event.OBJECT_REFUSED, kind=kind, name=name, reason=reason)
 
     def _put_target(self, stored: StoredObject) -> None:
         self._lapsed.pop(stored.name, None)
         try:
             target = parse_target(stored, self._state.settings.regions)
         except ObjectError as error:
-            _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
+            self._refuse("target", stored.name, str(error))
             return
+        self._refused.pop(stored.name, None)
         change = self._state.targets.register(target, self._state.clock.now())
         if change is not None:
             self._note_found(change, target, stored.revision)
@@ -99,6 +144,7 @@
 
     def _drop_target(self, name: str) -> None:
         """Remove a target, unless it may only have lapsed while the store was away."""
+        self._refused.pop(name, None)
         known = self._state.targets.get(name)
         ready = known is not None and known.state is TargetState.READY
         now = self._state.clock.now()
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -20,7 +20,7 @@
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.lookups import LookupApi
 from carawayquay_gateway.peers import PeerExchange
-from carawayquay_gateway.reload import SettingsReloader
+from carawayquay_gateway.reload import SettingsReloader, note_problems
 from carawayquay_gateway.round_trips import RoundTrips
 from carawayquay_gateway.selection import Selection
 from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
@@ -117,6 +117,8 @@
         gauge("caller_connections", lambda: self._caller_server.open_connections)
         gauge("requests_active", lambda: self._forwarder.active)
         gauge("body_bytes", lambda: float(bodies.used))
+        gauge("configuration_remarks", lambda: float(len(self._state.remarks)))
+        gauge("objects_refused", lambda: float(len(self._state.adoption.refused)))
         gauge("stopping", lambda: float(self._state.stopping))
 
     async def run(self) -> None:
@@ -147,13 +149,13 @@
 
     async def _update(self) -> None:
         """Move what changes with time: shares of regions, limits of connections."""
-        version = None
+        applied = None
         while True:
             self._state.update(self._state.clock.now())
             self._store.move(self._state.settings.store)
             configuration = self._state.configuration
-            if configuration is not None and configuration.version != version:
-                version = configuration.version
+            if configuration is not None and configuration is not applied:
+                applied = configuration
                 limits = configuration.limits
                 self._caller_server.set_limits(
                     HttpLimits(
@@ -206,4 +208,5 @@
     loaded = load_gateway_settings(path)
     output = LineOutput(sys.stdout.fileno())
     set_up_bounded_logging(loaded.log_level, output)
+    note_problems(loaded, path)
     curio.run(Gateway(loaded, path, output).run)
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -11,6 +11,7 @@
 from carawayquay.errors import ErrorKind
 from carawayquay.placement import Placed, Refused
 from carawayquay.refusals import retry_after
+from carawayquay.routes import UnreadRoutes
 from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.answers import CallerAnswers
 from carawayquay_gateway.exchanges import Exchange, FailureAnswer
@@ -40,6 +41,9 @@
 #: Seconds after which a caller should ask a VM again that knows no configuration.
 _UNCONFIGURED_RETRY = 1.0
 
+#: The same for a route that could not be read, which an operator has to mend.
+_UNREAD_RETRY = 2.0
+
 #: Seconds until room is expected at targets that could not be tried for want of retries.
 _RETRY_WAIT = 0.1
 
@@ -103,6 +107,9 @@
         if route is None:
             reason = f"no route in version {configuration.version}"
             return self._answers.refuse(call, ErrorKind.UNKNOWN_ROUTE, reason)
+        if isinstance(route, UnreadRoutes):
+            reason = f"its route in version {configuration.version} can't be read"
+            return self._answers.refuse(call, ErrorKind.UNREAD_ROUTE, reason, _UNREAD_RETRY)
         service = self._choice(route).next()
         state.service(service).count_request(now)
         self._selection.count_request()
--- a/packages/gateway/src/carawayquay_gateway/reload.py
+++ b/packages/gateway/src/carawayquay_gateway/reload.py
@@ -17,7 +17,7 @@
     from carawayquay_gateway.state import GatewayState
     from carawayquay_wire.signals import ReloadSignal
 
-__all__ = ["SettingsReloader", "merged"]
+__all__ = ["SettingsReloader", "merged", "note_problems"]
 
 _log = EventLog("reload")
 
@@ -33,6 +33,12 @@
     return attrs.evolve(loaded, **{name: getattr(present, name) for name in _FIXED})
 
 
+def note_problems(settings: GatewaySettings, path: Path) -> None:
+    """Log what was not understood of a settings file."""
+    for problem in settings.problems:
+        _log.warning(Event.SETTINGS_REFUSED, path=path, reason=problem)
+
+
 class SettingsReloader:
     """Applies changed settings; broken ones leave the present ones in force."""
 
@@ -55,12 +61,13 @@
     def reload(self) -> None:
         """Read the file and apply it."""
         try:
-            loaded = load_gateway_settings(self._path)
+            loaded = load_gateway_settings(self._path, self._state.settings)
         except SettingsError as error:
             _log.warning(Event.SETTINGS_REFUSED, path=self._path, reason=error)
             return
         self._state.settings = merged(self._state.settings, loaded)
         _log.info(Event.SETTINGS_RELOADED, path=self._path)
+        note_problems(loaded, self._path)
 
     def _stamp(self) -> tuple[int, int] | None:
         try:
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -8,7 +8,12 @@
 
 from carawayquay.errors import SettingsError
 from carawayquay.membership import Address
-from carawayquay.settings import Setting, SettingKind, parse_table, read_settings
+from carawayquay.settings import (
+    Setting,
+    SettingKind,
+    parse_table_leniently,
+    read_settings,
+)
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -93,6 +98,7 @@
     """The checked settings of one gateway.
 
     :param regions: the region of each failure domain
+    :param problems: what in the settings file was not understood and passed over
     """
 
     name: str
@@ -117,6 +123,7 @@
     descriptors: int
     log_level: str
     regions: dict[str, str]
+    problems: tuple[str, ...] = attrs.field(default=(), eq=False)
 
     @property
     def reports(self) -> Address:
@@ -124,22 +131,31 @@
         return Address(self.callers.host, self.ports[0])
 
 
-def load_gateway_settings(path: Path) -> GatewaySettings:
+def load_gateway_settings(path: Path, present: GatewaySettings | None = None) -> GatewaySettings:
     """Read and check a settings file.
 
-    :raises SettingsError: with every problem, if there is one
+    :param present: the settings in force, which stay where the file's can't be read
+    :raises SettingsError: with every problem, if what can't be read has no value otherwise
     """
-    return parse_gateway_settings(read_settings(path))
+    return parse_gateway_settings(read_settings(path), present)
 
 
-def parse_gateway_settings(text: str) -> GatewaySettings:
+def parse_gateway_settings(text: str, present: GatewaySettings | None = None) -> GatewaySettings:
     """Check the text of a settings file.
 
-    :raises SettingsError: with every problem, if there is one
+    The file comes from a platform that may be newer than this program, so what is not understood
+    costs only itself.
+
+    :param present: the settings in force, which stay where the text's can't be read
+    :raises SettingsError: with every problem, if what can't be read has no value otherwise
     """
-    parsed = parse_table(text, GATEWAY_SETTINGS, (_REGIONS,))
+    parsed = parse_table_leniently(text, GATEWAY_SETTINGS, (_REGIONS,), present)
     regions = parsed.open_sections.get(_REGIONS, {})
-    domain = parsed.values["domain"]
-    if regions.get(domain) != parsed.values["region"]:
-        raise SettingsError((f'[{_REGIONS}] does not put "{domain}" into the region of [vm]',))
-    return GatewaySettings(**parsed.values, regions=regions)
+    values, problems = parsed.values, parsed.problems
+    if regions.get(values["domain"]) != values["region"]:
+        problem = f'[{_REGIONS}] does not put "{values["domain"]}" into the region of [vm]'
+        problems = (*problems, problem)
+        if present is None:
+            raise SettingsError(problems)
+        regions = present.regions
+    return GatewaySettings(**values, regions=regions, problems=problems)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -23,6 +23,7 @@
     from carawayquay.clock import Clock
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.load_reports import VMIdentity, WarmObject
+    from carawayquay.remarks import Remark
     from carawayquay.routes import Configuration
     from carawayquay_gateway.settings import GatewaySettings
     from carawayquay_wire.metrics import Metrics
@@ -59,6 +60,8 @@
         self.stopping = False
         self.answered: dict[ObjectKind, bool] = {}
         self.configuration: Configuration | None = None
+        #: What was not understood of the configuration in force, and how often it was met.
+        self.remarks: tuple[tuple[Remark, int], ...] = ()
         self.targets = TargetRegistry()
         self.evacuated: set[str] = set()
         self.peers = EntryPeers(identity)
@@ -225,6 +228,9 @@
             "vm": self.identity.name,
             "stopping": self.stopping,
             "configuration": self.configuration.version if self.configuration else None,
+            "remarks": {str(remark): times for remark, times in self.remarks},
+            "refused_objects": self.adoption.refused,
+            "refused_settings": list(self.settings.problems),
             "revisions": {k.name: replica.revision for k, replica in self.replicas.items()},
             "evacuated": sorted(self.evacuated),
             "peers": {
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -27,6 +27,7 @@
     ACCEPT_FAILED = "accept-failed"
     OBJECT_ADOPTED = "object-adopted"
     OBJECT_REFUSED = "object-refused"
+    PART_NOT_UNDERSTOOD = "part-not-understood"
     PULL_FAILED = "pull-failed"
     STORE_LOST = "store-lost"
     STORE_FOUND = "store-found"
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -5,7 +5,7 @@
 import struct
 from importlib import resources
 from itertools import starmap
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import capnp
 
@@ -19,6 +19,9 @@
     WarmObject,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = ["MAX_DATAGRAM_BYTES", "decode_report", "encode_report"]
 
 MAX_DATAGRAM_BYTES = 60_000
@@ -70,16 +73,26 @@
             leaving=reader.leaving,
             watching=reader.watching,
             revisions=tuple(reader.revisions),
-            targets=tuple(starmap(TargetCount, _COUNT.iter_unpack(reader.targets))),
-            rates=tuple(starmap(ServiceRate, _RATE.iter_unpack(reader.rates))),
+            targets=_unpack(_COUNT, TargetCount, reader.targets),
+            rates=_unpack(_RATE, ServiceRate, reader.rates),
             crashes=tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
             members=tuple(_identity(item) for item in reader.members),
-            warmed=tuple(starmap(WarmObject, _WARMED.iter_unpack(reader.warmed))),
+            warmed=_unpack(_WARMED, WarmObject, reader.warmed),
         )
     except (capnp.KjException, struct.error, ValueError) as error:
         raise FrameError(f"load report is broken: {error}") from error
 
 
+def _unpack(part: struct.Struct, make: Callable[..., Any], data: bytes) -> tuple[Any, ...]:
+    """Return what a blob holds; one of another version of this program holds nothing to this one.
+
+    The blob's size tells: it is empty or a multiple of the part's.
+    """
+    if len(data) % part.size:
+        return ()
+    return tuple(starmap(make, part.iter_unpack(data)))
+
+
 def _member(identity: VMIdentity) -> dict[str, Any]:
     return {
         "name": identity.name,
--- a/packages/wire/tests/test_reports.py
+++ b/packages/wire/tests/test_reports.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import re
+import secrets
+from importlib import resources
+
+import capnp
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -48,3 +53,62 @@
 def test_broken_datagram_is_refused(data):
     with pytest.raises(FrameError):
         decode_report(data)
+
+
+SCHEMA = (resources.files("carawayquay_wire") / "schema" / "reports.capnp").read_text()
+
+
+def _other_version(tmp_path, text):
+    """Return the report type of another version of this program."""
+    path = tmp_path / "other.capnp"
+    # Each schema file of a process needs an id of its own.
+    path.write_text(text.replace("@0xd21f86c5a0b7e943", f"@{secrets.randbits(63) | 1 << 63:#x}"))
+    return capnp.load(str(path)).LoadReport
+
+
+def _later_version(tmp_path):
+    added = "  mood @10 :Text;\n  moods @11 :List(Member);\n}"
+    members = SCHEMA.replace(
+        "  incarnation @4 :UInt64;", "  incarnation @4 :UInt64;\n  a @5 :Text;"
+    )
+    return _other_version(tmp_path, members.rstrip().removesuffix("}") + added)
+
+
+def _earlier_version(tmp_path):
+    return _other_version(tmp_path, re.sub(r".*@[89] :.*\n", "", SCHEMA))
+
+
+def _reported(sender=SENDER, **changes):
+    values = {"sequence": 7, "leaving": False, "revisions": (530, 0, 12)}
+    return LoadReport(sender=sender, **(values | changes))
+
+
+def test_report_of_a_later_version_is_taken_for_what_is_understood(tmp_path):
+    sender = {name: getattr(SENDER, name) for name in ("name", "host", "domain", "region")}
+    message = _later_version(tmp_path).new_message(
+        sender=sender | {"incarnation": SENDER.incarnation, "a": "more"},
+        sequence=7,
+        revisions=[530, 0, 12, 99],
+        targets=b"seven b",
+        mood="calm",
+        moods=[sender],
+    )
+    report = decode_report(message.to_bytes_packed())
+    assert report == _reported(revisions=(530, 0, 12, 99))
+
+
+def test_report_of_an_earlier_version_is_taken(tmp_path):
+    sender = {name: getattr(SENDER, name) for name in ("name", "host", "domain", "region")}
+    message = _earlier_version(tmp_path).new_message(
+        sender=sender | {"incarnation": SENDER.incarnation}, sequence=7, revisions=[530, 0]
+    )
+    report = decode_report(message.to_bytes_packed())
+    assert report == _reported(revisions=(530, 0))
+
+
+@pytest.mark.parametrize("version", [_later_version, _earlier_version])
+def test_other_versions_take_this_ones_reports(tmp_path, version):
+    report = _reported(targets=(TargetCount(5, 2),), warmed=(WarmObject(1, 2),), members=(SENDER,))
+    read = version(tmp_path).from_bytes_packed(encode_report(report))
+    assert (read.sender.name, read.sequence, list(read.revisions)) == (SENDER.name, 7, [530, 0, 12])
+    assert len(read.targets) == 6
