Let decisions go by a clock that counts suspensions, and list the store again after a pause

Cause: the clock that decisions read stands still while a VM is suspended, so a VM that woke took its peers for live, its cold rights for its own and its callers' time for unspent; nothing made it look at the store again before its watch timed out (8 s).

Change: the time since the machine's start; a gap between two updates is a pause, logged, after which each watcher lists anew.

--- a/packages/core/src/carawayquay/clock.py
+++ b/packages/core/src/carawayquay/clock.py
@@ -17,11 +17,15 @@
 
 
 class MonotonicClock:
-    """The machine's monotonic clock, which goes on while the process is stopped."""
+    """The time since the machine's start, which goes on while it is stopped or suspended.
+
+    The clock that is called monotonic stands still while a machine is suspended, so by that one
+    rights that have run out meanwhile would seem to hold on.
+    """
 
     def now(self) -> timedelta:
-        """Return the time since the machine's monotonic origin."""
-        return timedelta(seconds=time.monotonic())
+        """Return the time since the machine's start."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 class ManualClock:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -16,6 +16,7 @@
 from carawayquay_gateway.adoption import Adoption
 from carawayquay_gateway.service_state import ServiceState
 from carawayquay_platform.objects import ObjectKind
+from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -30,6 +31,8 @@
 
 __all__ = ["GatewayState"]
 
+_log = EventLog("state")
+
 #: Share of a region's requests below which their number at its targets tells nothing.
 _LEAST_SHARE = 0.2
 
@@ -39,6 +42,9 @@
 #: Time between two looks for what is left of targets that are gone.
 _PRUNE_INTERVAL = timedelta(seconds=10)
 
+#: Time without an update, which comes several times a second, after which this VM was paused.
+_PAUSED_AFTER = timedelta(seconds=1.5)
+
 #: Seconds of work that are assumed before a service has answered.
 _ASSUMED_LATENCY = 0.3
 
@@ -76,6 +82,9 @@
         self._rates = RegionRates()
         self._rates_until = timedelta()
         self._prune_at = timedelta()
+        self._updated_at: timedelta | None = None
+        #: How often this VM went on after a pause, in which all that it knows may have changed.
+        self.wakes = 0
         self.store_failed_at: timedelta | None = None
         self.adoption = Adoption(self)
         self.replicas = self.adoption.replicas()
@@ -147,6 +156,7 @@
 
     def update(self, now: timedelta) -> None:
         """Apply what follows from the time that has passed."""
+        self._note_pause(now)
         self.peers.expire(now)
         self.adoption.remove_lapsed()
         if now >= self._prune_at:
@@ -154,6 +164,13 @@
             self._forget_gone()
         self._update_shares(now)
 
+    def _note_pause(self, now: timedelta) -> None:
+        """Notice that this VM was stopped or suspended."""
+        before, self._updated_at = self._updated_at, now
+        if before is not None and now - before > _PAUSED_AFTER:
+            self.wakes += 1
+            _log.warning(Event.WOKEN, paused_ms=int((now - before).total_seconds() * 1000))
+
     def _forget_gone(self) -> None:
         """Drop what answers told of targets that had been removed when they came."""
         for name in [name for name in self._stats if self.targets.get(name) is None]:
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -78,6 +78,7 @@
         self._backoff = Backoff(_FIRST_RETRY, _LAST_RETRY, random)
         self._connected: bool | None = None
         self._stale = True
+        self._wakes = state.wakes
         self._index = list(state.replicas).index(replica.kind)
         self._handled = 0
         self._failed_at: timedelta | None = None
@@ -85,6 +86,7 @@
     async def run(self) -> None:
         """Follow the store, or those who do, until cancelled."""
         while True:
+            self._stale = self._stale or self._state.wakes != self._wakes
             if not self._stale and not self._on_duty():
                 await self._follow_peers()
                 continue
@@ -113,6 +115,7 @@
         :raises StoreError: if it is not answered
         """
         if self._stale:
+            self._wakes = self._state.wakes
             self._apply_listing(await self._store.list(self._replica.kind))
             self._stale = False
             return
@@ -156,8 +159,8 @@
         return self._wait
 
     async def _wait_behind(self) -> None:
-        """Return once another VM has had a later change for a while."""
-        while True:
+        """Return once another VM has had a later change for a while, or this VM was paused."""
+        while self._state.wakes == self._wakes:
             await curio.sleep(_COMPARE_SECONDS)
             newest = self._newest_at_peers()
             if newest is not None and self._missed(newest):
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -295,3 +295,18 @@
 
 def _now(state):
     return state.clock.now()
+
+
+def test_vm_that_was_paused_lists_the_store_again_at_once():
+    async def check():
+        store = await _filled()
+        state = await _started(store)
+        await _until(lambda: state.ready and _lists(store) == len(KINDS))
+        state.update(state.clock.now() + timedelta(seconds=9))
+        await _until(lambda: _lists(store) == 2 * len(KINDS))
+
+    run(check)
+
+
+def _lists(store):
+    return sum("watch=" not in call for call in store.calls)
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -29,6 +29,7 @@
     OBJECT_REFUSED = "object-refused"
     PART_NOT_UNDERSTOOD = "part-not-understood"
     PULL_FAILED = "pull-failed"
+    WOKEN = "woken"
     STORE_LOST = "store-lost"
     STORE_FOUND = "store-found"
     LINK_BROKEN = "link-broken"
