Let relays exchange summaries of failure domains in place of reports between all VMs

Cause: every VM reported to every other.

Change: VMs of a domain report to each other as before; two relays of each domain, picked by the same order at every VM, send a summary of the domain to the relays of the others, and the first relay passes on what it hears; the second does so where the first is silent. What is known of a domain's VMs stays while it is silent, so that shares of common rights don't grow in a cut.

--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -7,14 +7,21 @@
 
 import attrs
 
+from carawayquay.far_domains import FarDomains
 from carawayquay.report_pace import Distance, ReportPace, distance, report_pace
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
-    from carawayquay.load_reports import LoadReport, ServiceRate, VMIdentity
+    from carawayquay.load_reports import (
+        DomainSummary,
+        LoadReport,
+        ServiceRate,
+        TargetCount,
+        VMIdentity,
+    )
 
-__all__ = ["EntryPeers", "Peer", "RegionRates"]
+__all__ = ["EntryPeers", "Holder", "Peer", "RegionRates"]
 
 #: How long the in-flight counts of a report stand for the present, and for how many intervals
 #: between reports at least.
@@ -67,24 +74,87 @@
         return self._totals.get(service, 0.0)
 
 
+@attrs.frozen
+class Holder:
+    """A VM that holds the objects of a kind up to a revision.
+
+    :param near: whether it is in the own failure domain
+    """
+
+    revision: int
+    near: bool
+    host: str
+
+
 class EntryPeers:
-    """The entry VMs that this one knows, and the sums over their reports."""
+    """The entry VMs that this one knows, and the sums over what they report.
+
+    Those of the own failure domain report themselves. Of the others their domains' summaries tell;
+    what one of them reports itself counts only while there is no summary of its domain.
+    """
 
     def __init__(self, own: VMIdentity) -> None:
         self._own = own
         self._peers: dict[str, Peer] = {}
+        self._far = FarDomains(own)
         self._running: dict[int, int] = {}
-        self._counted: dict[str, LoadReport] = {}
+        self._counted: dict[str, tuple[TargetCount, ...]] = {}
         self._newest: dict[int, int] = {}
         self._turn = 0
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(self._peers.values())
 
+    @property
+    def far(self) -> FarDomains:
+        """The other failure domains."""
+        return self._far
+
+    @property
+    def near(self) -> list[Peer]:
+        """The other VMs of the own failure domain that are known, live or not."""
+        return [peer for peer in self._peers.values() if peer.identity.domain == self._own.domain]
+
     @property
     def known(self) -> int:
         """The number of VMs that are known, this one included."""
-        return len(self._peers) + 1
+        return len(self.identities())
+
+    def identities(self) -> dict[str, VMIdentity]:
+        """Return all VMs that are known by name, live or not, this one included."""
+        found = {member.name: member for member in self._far.members()}
+        found.update((name, peer.identity) for name, peer in self._peers.items())
+        found[self._own.name] = self._own
+        return found
+
+    def sharing(self, domains: Iterable[str]) -> int:
+        """Return the number of VMs that may share a common right, this one included.
+
+        A domain that nothing is known of is taken for one of the own domain's size, so that a VM
+        that has just started, or that is cut off, takes no more than its part.
+
+        :param domains: all failure domains, the own one too
+        """
+        near = len(self.near) + 1
+        whole = near
+        for name in domains:
+            if name == self._own.domain:
+                continue
+            domain = self._far.get(name)
+            vms = domain.vms if domain is not None else 0
+            direct = sum(peer.identity.domain == name for peer in self._peers.values())
+            whole += max(vms, direct) or near
+        return whole
+
+    def live_vms(self, now: timedelta) -> list[VMIdentity]:
+        """Return the other VMs that are live and not leaving, as they or their domains say."""
+        found = {member.name: member for member in self._far.live_members(now)}
+        for peer in self._peers.values():
+            if peer.report is not None and peer.report.leaving:
+                found.pop(peer.identity.name, None)
+            elif peer.report is not None and peer.live(now):
+                found[peer.identity.name] = peer.identity
+        return list(found.values())
 
     def get(self, name: str) -> Peer | None:
         """Return a VM by its name, or None."""
@@ -106,11 +176,26 @@
         """Return the requests/s that the other VMs take, by region and service."""
         found = RegionRates()
         for peer in self._peers.values():
-            if peer.report is not None and peer.live(now):
+            if peer.report is not None and peer.live(now) and not self._summed(peer, now):
                 for rate in peer.report.rates:
                     found.add(peer.identity.region, rate)
+        for domain in self._far:
+            if domain.summary is not None and domain.live(now):
+                for rate in domain.summary.rates:
+                    found.add(domain.region, rate)
         return found
 
+    def holders(self, index: int, now: timedelta) -> Iterator[Holder]:
+        """Return live VMs that said which objects they hold, by the index of the kind."""
+        for peer in self._peers.values():
+            if peer.report is not None and peer.live(now) and index < len(peer.report.revisions):
+                near = peer.identity.domain == self._own.domain
+                yield Holder(peer.report.revisions[index], near, peer.identity.host)
+        for domain in self._far:
+            summary = domain.summary
+            if summary is not None and domain.live(now) and index < len(summary.revisions):
+                yield Holder(summary.revisions[index], False, summary.sender.host)
+
     def newest_revision(self, index: int) -> int:
         """Return the last change that any VM ever reported, by the index of the kind in reports."""
         return self._newest.get(index, 0)
@@ -119,6 +204,9 @@
         """Take that another VM exists, by hearsay."""
         if identity.name == self._own.name:
             return
+        if identity.domain != self._own.domain:
+            self._far.learn(identity, now)
+            return
         known = self._peers.get(identity.name)
         if known is None or identity.incarnation > known.identity.incarnation:
             self._forget_counts(identity.name)
@@ -146,16 +234,41 @@
             peer = self._add(report.sender, now)
         peer.heard = now
         peer.report = report
-        self._forget_counts(name)
-        self._counted[name] = report
-        for count in report.targets:
-            self._running[count.target] = self._running.get(count.target, 0) + count.running
-        for index, revision in enumerate(report.revisions):
-            self._newest[index] = max(revision, self._newest.get(index, 0))
+        self._count(name, () if self._summed(peer, now) else report.targets)
+        self._note_revisions(report.revisions)
         for member in report.members:
             self.learn(member, now)
         return True
 
+    def receive_summary(self, summary: DomainSummary, now: timedelta) -> bool:
+        """Take what is told of another failure domain; return False if it is not news."""
+        if not self._far.receive(summary, now):
+            return False
+        domain = summary.sender.domain
+        for peer in self._peers.values():
+            if peer.identity.domain == domain:
+                self._forget_counts(peer.identity.name)
+        self._count(_key_of(domain), summary.targets)
+        self._note_revisions(summary.revisions)
+        return True
+
+    def domain_counts(self) -> dict[int, int]:
+        """Return the requests that the other VMs of the own domain have in flight, by target."""
+        found: dict[int, int] = {}
+        for peer in self.near:
+            for count in self._counted.get(peer.identity.name, ()):
+                found[count.target] = found.get(count.target, 0) + count.running
+        return found
+
+    def domain_rates(self, now: timedelta) -> dict[int, float]:
+        """Return the requests/s that the other VMs of the own domain take, by service."""
+        found: dict[int, float] = {}
+        for peer in self.near:
+            if peer.report is not None and peer.live(now):
+                for rate in peer.report.rates:
+                    found[rate.service] = found.get(rate.service, 0.0) + rate.rate
+        return found
+
     def expire(self, now: timedelta) -> None:
         """Drop counts that are too old, and VMs that have been silent for long."""
         for peer in list(self._peers.values()):
@@ -165,10 +278,15 @@
             if now - since > _MEMORY:
                 del self._peers[peer.identity.name]
                 self._update_paces()
+        for domain in self._far:
+            life = max(_COUNTS_LIFE, _COUNTS_INTERVALS * domain.pace.interval)
+            if domain.heard is not None and now - domain.heard > life:
+                self._forget_counts(_key_of(domain.name))
 
     def some_members(self, count: int, now: timedelta) -> tuple[VMIdentity, ...]:
         """Return some live VMs, others at each call, for a report."""
-        live = [peer.identity for peer in self._peers.values() if peer.live(now)]
+        live = [*(peer.identity for peer in self.near if peer.live(now))]
+        live += self._far.live_members(now)
         if len(live) <= count:
             return tuple(live)
         start = self._turn % len(live)
@@ -192,13 +310,31 @@
             for peer in peers:
                 peer.pace = pace
 
-    def _forget_counts(self, name: str) -> None:
-        report = self._counted.pop(name, None)
-        if report is None:
-            return
-        for count in report.targets:
+    def _summed(self, peer: Peer, now: timedelta) -> bool:
+        """Return whether a VM's counts stand in a summary of its domain."""
+        domain = self._far.get(peer.identity.domain)
+        return domain is not None and domain.live(now)
+
+    def _note_revisions(self, revisions: tuple[int, ...]) -> None:
+        for index, revision in enumerate(revisions):
+            self._newest[index] = max(revision, self._newest.get(index, 0))
+
+    def _count(self, source: str, counts: tuple[TargetCount, ...]) -> None:
+        """Take counts in place of the source's earlier ones."""
+        self._forget_counts(source)
+        self._counted[source] = counts
+        for count in counts:
+            self._running[count.target] = self._running.get(count.target, 0) + count.running
+
+    def _forget_counts(self, source: str) -> None:
+        for count in self._counted.pop(source, ()):
             left = self._running.get(count.target, 0) - count.running
             if left > 0:
                 self._running[count.target] = left
             else:
                 self._running.pop(count.target, None)
+
+
+def _key_of(domain: str) -> str:
+    """Return the source of a domain's counts, which no VM's name is equal to."""
+    return f"domain/{domain}"
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -1,4 +1,4 @@
-"""What entry VMs tell each other many times a second: who lives, what runs, what is in force."""
+"""What entry VMs and failure domains tell each other: who lives, what runs, what is in force."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CrashReport",
+    "DomainSummary",
     "LoadReport",
     "ServiceRate",
     "TargetCount",
@@ -87,6 +88,7 @@
     :param revisions: the store's revision of the last change that the VM knows, for each kind
     :param watching: whether the VM watches the store and is answered
     :param members: some of the live VMs that the sender knows, in turn
+    :param asking: whether the sender asks to be told of VMs, as one that knows few
     """
 
     sender: VMIdentity
@@ -99,3 +101,28 @@
     crashes: tuple[CrashReport, ...] = ()
     warmed: tuple[WarmObject, ...] = ()
     members: tuple[VMIdentity, ...] = ()
+    asking: bool = False
+
+
+@attrs.frozen
+class DomainSummary:
+    """What one VM of a failure domain knows of the whole domain, for other domains.
+
+    :param sender: the VM that made it, which holds the objects that it names the revisions of
+    :param sequence: counts the summaries of one incarnation of the sender
+    :param revisions: the store's revision of the last change that the sender knows, for each kind
+    :param vms: the VMs that the sender knows there, silent ones too, which share rights
+    :param members: the live members, or none where they are as in an earlier summary
+    :param targets: the requests that all members have in flight, by target
+    :param rates: the requests/s that all members take, by service
+    """
+
+    sender: VMIdentity
+    sequence: int
+    revisions: tuple[int, ...]
+    vms: int
+    members: tuple[VMIdentity, ...] = ()
+    targets: tuple[TargetCount, ...] = ()
+    rates: tuple[ServiceRate, ...] = ()
+    crashes: tuple[CrashReport, ...] = ()
+    warmed: tuple[WarmObject, ...] = ()
--- a/packages/core/src/carawayquay/report_pace.py
+++ b/packages/core/src/carawayquay/report_pace.py
@@ -1,4 +1,4 @@
-"""How often entry VMs report to each other, by how far apart and how many they are."""
+"""How often entry VMs and failure domains report, by how far apart and how many they are."""
 
 from __future__ import annotations
 
@@ -9,12 +9,17 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from carawayquay.load_reports import VMIdentity
 
-__all__ = ["Distance", "ReportPace", "distance", "report_pace"]
+__all__ = ["Distance", "ReportPace", "distance", "report_pace", "summary_pace"]
 
 #: Reports/s that a VM takes from the VMs of one distance at the most.
-_MAX_REPORTS_PER_SECOND = 40.0
+_MAX_REPORTS_PER_SECOND = 25.0
+
+#: Summaries/s that a VM takes from all domains of one distance at the most.
+_MAX_SUMMARIES_PER_SECOND = 3.5
 
 #: Reports never come less often, so that a VM that is gone is known to be before long.
 _MAX_INTERVAL = timedelta(seconds=2.4)
@@ -65,10 +70,26 @@
 
     :param vms: the number of other VMs at that distance
 
-    >>> report_pace(Distance.FAR, 96).interval
-    datetime.timedelta(seconds=2, microseconds=400000)
+    >>> report_pace(Distance.DOMAIN, 40).interval
+    datetime.timedelta(seconds=1, microseconds=600000)
     """
     usual = _PACES[distance]
     wanted = timedelta(seconds=vms / _MAX_REPORTS_PER_SECOND)
     interval = max(usual.interval, min(wanted, _MAX_INTERVAL))
     return ReportPace(interval, max(usual.silence, _SILENT_INTERVALS * interval))
+
+
+def summary_pace(distance: Distance, domains: Mapping[Distance, int]) -> ReportPace:
+    """Return the pace of summaries between failure domains at a distance.
+
+    :param domains: the number of other domains at each distance
+
+    >>> summary_pace(Distance.FAR, {Distance.REGION: 1, Distance.FAR: 4}).interval
+    datetime.timedelta(seconds=1, microseconds=200000)
+    >>> summary_pace(Distance.FAR, {Distance.REGION: 2, Distance.FAR: 6}).interval
+    datetime.timedelta(seconds=1, microseconds=714286)
+    """
+    usual = _PACES[distance]
+    wanted = timedelta(seconds=domains.get(distance, 0) / _MAX_SUMMARIES_PER_SECOND)
+    interval = max(usual.interval, wanted)
+    return ReportPace(interval, max(usual.silence, _SILENT_INTERVALS * interval))
--- a/packages/core/src/carawayquay/settings.py
+++ b/packages/core/src/carawayquay/settings.py
@@ -33,6 +33,7 @@
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
 _DURATION = re.compile(r"(-?[0-9]+(?:\.[0-9]+)?)(ms|s)")
 _MILLISECONDS = {"ms": 1.0, "s": 1000.0}
+_MAX_PORT = 65536
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -49,7 +50,7 @@
     LEVEL = "one of DEBUG, INFO, WARNING, ERROR"
     DURATION = "a number with ms or s"
     NUMBER = "a number"
-    PORTS = "two port numbers, separated by a comma"
+    PORTS = "two port numbers, the lower one first, separated by a comma"
 
 
 @attrs.frozen
@@ -307,6 +308,8 @@
             return float(raw)
         case SettingKind.PORTS:
             first, last = (int(part) for part in raw.split(","))
+            if not 0 < first < last < _MAX_PORT:
+                raise ValueError(raw)
             return range(first, last + 1)
 
 
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -25,6 +25,7 @@
 from carawayquay_gateway.selection import Selection
 from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
 from carawayquay_gateway.state import GatewayState
+from carawayquay_gateway.summaries import SummaryExchange
 from carawayquay_gateway.watcher import Watcher
 from carawayquay_platform.store import PlatformStore
 from carawayquay_wire.body_budget import BodyBudget
@@ -96,7 +97,8 @@
         self._entry = EntryKeeper(self._state, self._store, generator)
         crashes = CrashCounts()
         warm = WarmNews()
-        self._peers = PeerExchange(self._state, crashes, warm, generator)
+        self._summaries = SummaryExchange(self._state, crashes, warm)
+        self._peers = PeerExchange(self._state, crashes, warm, self._summaries, generator)
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
         self._forwarder = Forwarder(self._state, selection, crashes, warm, round_trips, generator)
@@ -131,6 +133,7 @@
             for listener in self._listeners:
                 await group.spawn(listener.run_forever)
             await group.spawn(self._peers.run)
+            await group.spawn(self._summaries.run)
             for watcher in self._watchers:
                 await group.spawn(watcher.run)
             await group.spawn(self._keep_entry)
@@ -183,7 +186,7 @@
         _log.info(Event.STOPPING, vm=self._settings.name)
         self._state.stopping = True
         self._caller_server.announce_close()
-        await self._peers.announce()
+        self._peers.announce()
         grace = self._settings.stop_grace.total_seconds() - _EXIT_SECONDS
         async with curio.ignore_after(grace):
             await curio.spawn(self._entry.remove, daemon=True)
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/datagrams.py
@@ -0,0 +1,70 @@
+"""A socket for datagrams between entry VMs, with what passes counted."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import curio
+from curio.io import Socket
+
+from carawayquay_wire.reports import MAX_DATAGRAM_BYTES
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Any
+
+    from carawayquay.membership import Address
+    from carawayquay_wire.metrics import Metrics
+
+__all__ = ["DatagramSocket"]
+
+#: Time in which datagrams gather before they are taken together, and their number at the most.
+_GATHER_SECONDS = 0.04
+_MAX_TOGETHER = 100
+
+
+class DatagramSocket:
+    """Sends and receives datagrams of one kind.
+
+    :param kind: the kind's name in metrics
+    """
+
+    def __init__(self, address: Address, kind: str, metrics: Metrics) -> None:
+        self._kind = kind
+        self._metrics = metrics
+        self._raw: Any = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._raw.bind((address.host, address.port))
+        self._sock = Socket(self._raw)
+        self._port = address.port
+
+    async def receive(self, take: Callable[[bytes, str], None]) -> None:
+        """Hand every datagram and its sender's host over, until cancelled.
+
+        Those that have come meanwhile are taken without a turn of the event loop for each.
+        """
+        while True:
+            with suppress(OSError):
+                self._take(take, *await self._sock.recvfrom(MAX_DATAGRAM_BYTES))
+                with suppress(BlockingIOError):
+                    for _ in range(_MAX_TOGETHER):
+                        self._take(take, *self._raw.recvfrom(MAX_DATAGRAM_BYTES))
+            await curio.sleep(_GATHER_SECONDS)
+
+    def send(self, data: bytes, hosts: Iterable[str]) -> None:
+        """Send one datagram to several hosts; one that does not fit into the socket is lost."""
+        sent = 0
+        for host in hosts:
+            with suppress(OSError):
+                self._raw.sendto(data, (host, self._port))
+                sent += 1
+        self._metrics.add("datagrams_sent_total", sent, kind=self._kind)
+        self._metrics.add("datagram_bytes_sent_total", sent * len(data), kind=self._kind)
+
+    def _take(
+        self, take: Callable[[bytes, str], None], data: bytes, address: tuple[str, int]
+    ) -> None:
+        self._metrics.count("datagrams_taken_total", kind=self._kind)
+        self._metrics.add("datagram_bytes_taken_total", len(data), kind=self._kind)
+        take(data, address[0])
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -156,7 +156,7 @@
             return False
         now = self._state.clock.now()
         retries = self._state.service(exchange.service).retries
-        if not retries.take(now, self._state.peers.known):
+        if not retries.take(now, self._state.sharing()):
             self._state.metrics.count("retries_refused_total", service=exchange.service)
             return False
         self._state.metrics.count("retries_total", service=exchange.service)
--- a/packages/gateway/src/carawayquay_gateway/lookups.py
+++ b/packages/gateway/src/carawayquay_gateway/lookups.py
@@ -42,7 +42,7 @@
 
     def _nearest(self, query: LookupQuery) -> list[VMIdentity]:
         """Return the live entry VMs of the caller's domain, and of others if they are few."""
-        live = [peer.identity for peer in self._state.peers.live(self._state.clock.now())]
+        live = self._state.peers.live_vms(self._state.clock.now())
         if not self._state.stopping or not live:
             live.append(self._state.identity)
         region = query.region or self._state.settings.regions.get(query.domain, "")
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -31,7 +31,13 @@
     Setting("listen", "ready", SettingKind.ADDRESS, "ready", "address for readiness checks"),
     Setting("listen", "lookups", SettingKind.ADDRESS, "lookups", "address for callers' look-ups"),
     Setting("listen", "admin", SettingKind.ADDRESS, "admin", "address for operators and peers"),
-    Setting("listen", "ports", SettingKind.PORTS, "ports", "ports for load reports, first to last"),
+    Setting(
+        "listen",
+        "ports",
+        SettingKind.PORTS,
+        "ports",
+        "ports for reports between VMs, first to last",
+    ),
     Setting("peers", "seeds", SettingKind.ADDRESSES, "seeds", "entry VMs to ask at the start", ""),
     Setting("store", "address", SettingKind.ADDRESS, "store", "the platform's store"),
     Setting(
@@ -130,6 +136,11 @@
         """Where load reports of other VMs arrive."""
         return Address(self.callers.host, self.ports[0])
 
+    @property
+    def summaries(self) -> Address:
+        """Where summaries of other failure domains arrive."""
+        return Address(self.callers.host, self.ports[1])
+
 
 def load_gateway_settings(path: Path, present: GatewaySettings | None = None) -> GatewaySettings:
     """Read and check a settings file.
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -45,6 +45,9 @@
 #: Time without an update, which comes several times a second, after which this VM was paused.
 _PAUSED_AFTER = timedelta(seconds=1.5)
 
+#: Time after the start in which this VM has heard of every domain that it can hear of.
+_HEARD_WITHIN = timedelta(seconds=5)
+
 #: Seconds of work that are assumed before a service has answered.
 _ASSUMED_LATENCY = 0.3
 
@@ -83,6 +86,7 @@
         self._rates_until = timedelta()
         self._prune_at = timedelta()
         self._updated_at: timedelta | None = None
+        self._started_at = clock.now()
         #: How often this VM went on after a pause, in which all that it knows may have changed.
         self.wakes = 0
         self.store_failed_at: timedelta | None = None
@@ -231,13 +235,29 @@
         return self._cold_rights.share(rate, self._cold_holders(target, now), self.identity.name)
 
     def _cold_holders(self, target: RegisteredTarget, now: timedelta) -> tuple[str, ...]:
-        """Return the VMs that share the right to send to a cold target: those beside it."""
-        vms = [self.identity, *(peer.identity for peer in self.peers)]
+        """Return the VMs that share the right to send to a cold target: those beside it.
+
+        Where none is beside it, those of its region hold the right, else all, but not before this
+        VM has had time to hear of VMs: one that knows nothing owns nothing.
+        """
+        own = self.identity
+        if target.domain == own.domain:
+            return tuple(sorted([own.name, *(peer.identity.name for peer in self.peers.near)]))
+        beside = self.peers.far.get(target.domain)
+        if beside is not None and beside.vms:
+            return ()
+        if now - self._started_at < _HEARD_WITHIN:
+            return ()
+        vms = self.peers.identities().values()
         near = sorted(vm.name for vm in vms if vm.domain == target.domain)
         if not near:
             near = sorted(vm.name for vm in vms if vm.region == target.region)
         return tuple(near or sorted(vm.name for vm in vms))
 
+    def sharing(self) -> int:
+        """Return the number of VMs that share the rights of all VMs together."""
+        return self.peers.sharing(self.settings.regions)
+
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON takes it."""
         now = self.clock.now()
@@ -254,6 +274,10 @@
                 peer.identity.name: {"live": peer.live(now), "domain": peer.identity.domain}
                 for peer in self.peers
             },
+            "domains": {
+                domain.name: {"live": domain.live(now), "vms": domain.vms}
+                for domain in self.peers.far
+            },
             "targets": {
                 target.name: {
                     "service": target.service,
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -0,0 +1,208 @@
+"""Exchanges summaries of failure domains, and passes those of others on within the own one."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import curio
+
+from carawayquay.domain_relays import relays
+from carawayquay.errors import FrameError
+from carawayquay.load_reports import DomainSummary, ServiceRate, TargetCount, short_hash
+from carawayquay.warm_news import WarmNews
+from carawayquay_gateway.datagrams import DatagramSocket
+from carawayquay_wire.events import Event, EventLog
+from carawayquay_wire.reports import decode_summary, encode_summary
+
+if TYPE_CHECKING:
+    from carawayquay.crash_counts import CrashCounts
+    from carawayquay.far_domains import FarDomain
+    from carawayquay.load_reports import VMIdentity, WarmObject
+    from carawayquay_gateway.state import GatewayState
+
+__all__ = ["SummaryExchange"]
+
+_log = EventLog("summaries")
+
+#: Time between two looks at which domain is due a summary, and the earliness that is allowed.
+_TURN_SECONDS = 0.2
+_EARLY = timedelta(milliseconds=50)
+
+#: How long news of warm objects are told to other domains, so that most are told twice.
+_NEWS_LIFE = timedelta(seconds=2.6)
+
+#: Members are named after they changed for so long, and in one of so many summaries otherwise.
+_NAMED_FOR = timedelta(seconds=4)
+_NAMED_EVERY = 4
+
+#: Intervals without a word passed on by the first relay, after which the second one passes it on.
+_MISSED_INTERVALS = 2.5
+
+
+class SummaryExchange:
+    """Speaks for this VM's domain where it is a relay, and takes what other domains say.
+
+    The relays of two domains send to each other, the first to the first and the second to the
+    second. The first relay passes on what it hears to all VMs of its own domain. The second does so
+    for a domain of which the first has passed on nothing for a while.
+    """
+
+    def __init__(self, state: GatewayState, crashes: CrashCounts, warm: WarmNews) -> None:
+        self._state = state
+        self._crashes = crashes
+        self._warm = warm
+        self._news = WarmNews(_NEWS_LIFE)
+        self._sequence = 0
+        self._turn = 0
+        self._due: dict[str, timedelta] = {}
+        self._passed_on: dict[str, timedelta] = {}
+        self._relays: tuple[str, ...] = ()
+        self._roster: frozenset[VMIdentity] = frozenset()
+        self._roster_at = timedelta()
+        self._live: set[str] = set()
+        self._sock: DatagramSocket | None = None
+
+    @property
+    def relays(self) -> tuple[str, ...]:
+        """The relays of the own domain, as this VM sees them."""
+        return self._relays
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        self._sock = DatagramSocket(self._state.settings.summaries, "summary", self._state.metrics)
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._sock.receive, self._take_datagram)
+            await group.spawn(self._send)
+
+    def tell_on(self, news: tuple[WarmObject, ...]) -> None:
+        """Take news of a VM of the own domain, to be told to others."""
+        self._news.learn(news, self._state.clock.now())
+
+    async def _send(self) -> None:
+        while True:
+            now = self._state.clock.now()
+            self._update_relays(now)
+            self._note_domains(now)
+            rank = self._rank()
+            if rank is not None:
+                self._send_due(rank, now)
+            await curio.sleep(_TURN_SECONDS)
+            self._turn += 1
+
+    def _rank(self) -> int | None:
+        """Return this VM's rank among the relays, or None if it is none of them."""
+        name = self._state.identity.name
+        return self._relays.index(name) if name in self._relays else None
+
+    def _update_relays(self, now: timedelta) -> None:
+        state = self._state
+        members = [
+            peer.identity
+            for peer in state.peers.near
+            if peer.live(now) and peer.report is not None and not peer.report.leaving
+        ]
+        if not state.stopping:
+            members.append(state.identity)
+        roster = frozenset(members)
+        if roster != self._roster:
+            self._roster, self._roster_at = roster, now
+        found = relays(state.identity.domain, [member.name for member in members])
+        if found != self._relays:
+            _log.info(Event.RELAYS_CHANGED, relays=",".join(found), members=len(members))
+            self._relays = found
+
+    def _note_domains(self, now: timedelta) -> None:
+        """Log the domains that were found and lost."""
+        live = {domain.name for domain in self._state.peers.far if domain.live(now)}
+        for name in live - self._live:
+            _log.info(Event.DOMAIN_FOUND, domain=name)
+        for name in self._live - live:
+            _log.warning(Event.DOMAIN_LOST, domain=name)
+        self._live = live
+
+    def _send_due(self, rank: int, now: timedelta) -> None:
+        """Send this domain's summary to the domains that are due one."""
+        due = [domain for domain in self._state.peers.far if self._take_due(domain, now)]
+        if not due:
+            return
+        far = self._state.peers.far
+        self._sequence += 1
+        changed = now - self._roster_at < _NAMED_FOR
+        named = changed or self._sequence % _NAMED_EVERY == 0
+        unaware = [domain for domain in due if named or not domain.live(now)]
+        aware = [domain for domain in due if domain not in unaware]
+        for domains, with_members in ((unaware, True), (aware, False)):
+            if domains:
+                data = encode_summary(self._summary(now, with_members))
+                for domain in domains:
+                    self._sock.send(data, far.receivers(domain, rank, self._turn, now))
+
+    def _take_due(self, domain: FarDomain, now: timedelta) -> bool:
+        """Return whether a domain is due a summary, and when it will be due the next one."""
+        at = self._due.get(domain.name, now)
+        if at - _EARLY > now:
+            return False
+        self._due[domain.name] = max(at + domain.pace.interval, now)
+        return True
+
+    def _summary(self, now: timedelta, with_members: bool) -> DomainSummary:
+        state = self._state
+        self._news.learn(self._warm.current(now), now)
+        counts = state.peers.domain_counts()
+        for name, running in state.running_here():
+            code = short_hash(name)
+            counts[code] = counts.get(code, 0) + running
+        rates = state.peers.domain_rates(now)
+        for name, service in state.services.items():
+            code = short_hash(name)
+            rates[code] = rates.get(code, 0.0) + service.rate(now)
+        members = sorted(self._roster, key=lambda member: member.name) if with_members else ()
+        return DomainSummary(
+            sender=state.identity,
+            sequence=self._sequence,
+            revisions=tuple(replica.changed for replica in state.replicas.values()),
+            vms=len(state.peers.near) + 1,
+            members=tuple(members),
+            targets=tuple(TargetCount(code, running) for code, running in counts.items()),
+            rates=tuple(ServiceRate(code, rate) for code, rate in rates.items()),
+            crashes=self._crashes.reports(now),
+            warmed=self._news.current(now),
+        )
+
+    def _take_datagram(self, data: bytes, host: str) -> None:
+        try:
+            summary = decode_summary(data)
+        except FrameError as error:
+            _log.warning(Event.REPORT_REFUSED, peer=host, reason=error)
+            return
+        state = self._state
+        now = state.clock.now()
+        near = {peer.identity.host: peer.identity.name for peer in state.peers.near}
+        news = state.peers.receive_summary(summary, now)
+        if near.get(host) == next(iter(self._relays), None):
+            self._passed_on[summary.sender.domain] = now
+        if not news:
+            return
+        self._crashes.learn(summary.crashes, now)
+        state.learn_warm(summary.warmed)
+        self._pass_on(data, summary.sender.domain, host, near, now)
+
+    def _pass_on(
+        self, data: bytes, domain: str, host: str, near: dict[str, str], now: timedelta
+    ) -> None:
+        """Pass news of another domain on to those of the own one who may not have it."""
+        rank = self._rank()
+        if rank == 0 or (rank is not None and host not in near and self._missed(domain, now)):
+            receivers = near.keys() - {host}
+        elif rank is None and host not in near:
+            receivers = {at for at, name in near.items() if name in self._relays}
+        else:
+            return
+        self._sock.send(data, receivers)
+
+    def _missed(self, domain: str, now: timedelta) -> bool:
+        """Return whether the first relay has passed on nothing of a domain for a while."""
+        known = self._state.peers.far.get(domain)
+        at = self._passed_on.get(domain)
+        return at is None or now - at > _MISSED_INTERVALS * known.pace.interval
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import attrs
 import curio
 
 from carawayquay.backoff import Backoff
@@ -18,6 +17,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from carawayquay.entry_peers import Holder
     from carawayquay_gateway.replicas import Replica
     from carawayquay_gateway.state import GatewayState
     from carawayquay_platform.store import ObjectChanges, ObjectListing
@@ -48,18 +48,6 @@
 _PEER_TIMEOUT = timedelta(milliseconds=500)
 
 
-@attrs.frozen
-class _Newest:
-    """The last change that another VM has seen.
-
-    :param near: whether that VM is in the own failure domain
-    """
-
-    revision: int
-    near: bool
-    address: Address
-
-
 class Watcher:
     """Watches the objects of one kind."""
 
@@ -169,41 +157,32 @@
                     self._handled = newest.revision
                     return
 
-    def _missed(self, newest: _Newest) -> bool:
+    def _missed(self, newest: Holder) -> bool:
         """Return whether the watch should have brought a change that another VM has."""
         return newest.revision > max(self._replica.revision or 0, self._handled)
 
-    def _newest_at_peers(self) -> _Newest | None:
-        """Return the last change that a live VM saw, and where to ask for it, near VMs first."""
-        if self._state.peers.newest_revision(self._index) <= (self._replica.revision or 0):
+    def _newest_at_peers(self) -> Holder | None:
+        """Return who is live and holds the latest changes, near VMs first."""
+        peers = self._state.peers
+        if peers.newest_revision(self._index) <= (self._replica.revision or 0):
             return None
-        now = self._state.clock.now()
-        best: _Newest | None = None
-        for peer in self._state.peers:
-            if not peer.live(now) or peer.report is None:
-                continue
-            if self._index >= len(peer.report.revisions):
-                continue
-            revision = peer.report.revisions[self._index]
-            near = peer.identity.domain == self._state.identity.domain
-            if best is None or (revision, near) > (best.revision, best.near):
-                address = Address(peer.identity.host, self._state.settings.admin.port)
-                best = _Newest(revision, near, address)
-        return best
+        holders = peers.holders(self._index, self._state.clock.now())
+        return max(holders, key=lambda holder: (holder.revision, holder.near), default=None)
 
     async def _ask_peer(self) -> None:
         """Take what a live VM knows, if that is more than is known here."""
         newest = self._newest_at_peers()
         if newest is None or newest.revision <= (self._replica.revision or 0):
             return
-        peer = PlatformStore(newest.address, _PEER_TIMEOUT)
+        address = Address(newest.host, self._state.settings.admin.port)
+        peer = PlatformStore(address, _PEER_TIMEOUT)
         try:
             listing = await peer.list(self._replica.kind)
         except StoreError as error:
             _log.warning(
                 Event.PULL_FAILED,
                 kind=self._replica.kind.name,
-                peer=newest.address,
+                peer=address,
                 reason=error,
             )
             return
--- a/packages/wire/src/carawayquay_wire/metrics.py
+++ b/packages/wire/src/carawayquay_wire/metrics.py
@@ -77,9 +77,13 @@
 
     def count(self, name: str, **labels: str) -> None:
         """Add one to a counter."""
+        self.add(name, 1, **labels)
+
+    def add(self, name: str, amount: int, **labels: str) -> None:
+        """Add to a counter."""
         key = tuple(labels.items())
         counters = self._counters.setdefault(name, {})
-        counters[key] = counters.get(key, 0) + 1
+        counters[key] = counters.get(key, 0) + amount
 
     def record(self, name: str, seconds: float, **labels: str) -> None:
         """Add one duration to a histogram."""
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -1,4 +1,4 @@
-"""Cap'n Proto encoding of load reports, read field by field since they come many times a second."""
+"""Cap'n Proto encoding of load reports and summaries, read field by field as they are many."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from carawayquay.errors import FrameError
 from carawayquay.load_reports import (
     CrashReport,
+    DomainSummary,
     LoadReport,
     ServiceRate,
     TargetCount,
@@ -22,7 +23,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["MAX_DATAGRAM_BYTES", "decode_report", "encode_report"]
+__all__ = [
+    "MAX_DATAGRAM_BYTES",
+    "decode_report",
+    "decode_summary",
+    "encode_report",
+    "encode_summary",
+]
 
 MAX_DATAGRAM_BYTES = 60_000
 
@@ -41,21 +48,10 @@
 def encode_report(report: LoadReport) -> bytes:
     """Return the bytes of a report."""
     message = _SCHEMA.LoadReport.new_message(
-        sender=_member(report.sender),
-        sequence=report.sequence,
         leaving=report.leaving,
         watching=report.watching,
-        revisions=list(report.revisions),
-        targets=b"".join(
-            _COUNT.pack(count.target, min(count.running, _MAX_RUNNING)) for count in report.targets
-        ),
-        rates=b"".join(_RATE.pack(rate.service, rate.rate) for rate in report.rates),
-        crashes=[
-            {"fingerprint": crash.fingerprint, "crashes": min(crash.crashes, _MAX_CRASHES)}
-            for crash in report.crashes
-        ],
-        members=[_member(member) for member in report.members],
-        warmed=b"".join(_WARMED.pack(item.target, item.key) for item in report.warmed),
+        asking=report.asking,
+        **_common_fields(report),
     )
     return message.to_bytes_packed()
 
@@ -68,21 +64,66 @@
     try:
         reader = _SCHEMA.LoadReport.from_bytes_packed(data)
         return LoadReport(
-            sender=_identity(reader.sender),
-            sequence=reader.sequence,
             leaving=reader.leaving,
             watching=reader.watching,
-            revisions=tuple(reader.revisions),
-            targets=_unpack(_COUNT, TargetCount, reader.targets),
-            rates=_unpack(_RATE, ServiceRate, reader.rates),
-            crashes=tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
-            members=tuple(_identity(item) for item in reader.members),
-            warmed=_unpack(_WARMED, WarmObject, reader.warmed),
+            asking=reader.asking,
+            **_common_attributes(reader),
         )
     except (capnp.KjException, struct.error, ValueError) as error:
         raise FrameError(f"load report is broken: {error}") from error
 
 
+def encode_summary(summary: DomainSummary) -> bytes:
+    """Return the bytes of a domain's summary."""
+    message = _SCHEMA.DomainSummary.new_message(vms=summary.vms, **_common_fields(summary))
+    return message.to_bytes_packed()
+
+
+def decode_summary(data: bytes) -> DomainSummary:
+    """Return the summary that a datagram carries.
+
+    :raises FrameError: if it carries none
+    """
+    try:
+        reader = _SCHEMA.DomainSummary.from_bytes_packed(data)
+        return DomainSummary(vms=reader.vms, **_common_attributes(reader))
+    except (capnp.KjException, struct.error, ValueError) as error:
+        raise FrameError(f"domain summary is broken: {error}") from error
+
+
+def _common_fields(message: LoadReport | DomainSummary) -> dict[str, Any]:
+    """Return what reports and summaries have in common, as the schema holds it."""
+    return {
+        "sender": _member(message.sender),
+        "sequence": message.sequence,
+        "revisions": list(message.revisions),
+        "targets": b"".join(
+            _COUNT.pack(count.target, min(count.running, _MAX_RUNNING)) for count in message.targets
+        ),
+        "rates": b"".join(_RATE.pack(rate.service, rate.rate) for rate in message.rates),
+        "crashes": [
+            {"fingerprint": crash.fingerprint, "crashes": min(crash.crashes, _MAX_CRASHES)}
+            for crash in message.crashes
+        ],
+        "members": [_member(member) for member in message.members],
+        "warmed": b"".join(_WARMED.pack(item.target, item.key) for item in message.warmed),
+    }
+
+
+def _common_attributes(reader: Any) -> dict[str, Any]:
+    """Return what reports and summaries have in common, as the types hold it."""
+    return {
+        "sender": _identity(reader.sender),
+        "sequence": reader.sequence,
+        "revisions": tuple(reader.revisions),
+        "targets": _unpack(_COUNT, TargetCount, reader.targets),
+        "rates": _unpack(_RATE, ServiceRate, reader.rates),
+        "crashes": tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
+        "members": tuple(_identity(item) for item in reader.members),
+        "warmed": _unpack(_WARMED, WarmObject, reader.warmed),
+    }
+
+
 def _unpack(part: struct.Struct, make: Callable[..., Any], data: bytes) -> tuple[Any, ...]:
     """Return what a blob holds; one of another version of this program holds nothing to this one.
 
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -24,4 +24,17 @@
   members @7 :List(Member);
   warmed @8 :Data;
   watching @9 :Bool;
+  asking @10 :Bool;
+}
+
+struct DomainSummary {
+  sender @0 :Member;
+  sequence @1 :UInt64;
+  revisions @2 :List(UInt64);
+  vms @3 :UInt32;
+  members @4 :List(Member);
+  targets @5 :Data;
+  rates @6 :Data;
+  crashes @7 :List(CrashReport);
+  warmed @8 :Data;
 }
