Take what is in force from neighbours: at a start, and only what changed afterwards

Change: VMs that start take the objects from each other, at most two from one; the first of a domain lists the store. A VM that is behind asks its neighbour for the changes since its revision, by the store's own watch call. Entries are listed only where no seed answers, and by one VM of a domain in 90 s; those of other domains and unreadable ones are no longer removed. A removal that only a list showed is now told on: before, VMs that follow did not hear of it until the next change.

Tests: test_replicas (property: a follower that asks ends with what the leader has), watch_duty, entry, relays of real sockets that die or go deaf.

--- a/packages/core/src/carawayquay/watch_duty.py
+++ b/packages/core/src/carawayquay/watch_duty.py
@@ -1,4 +1,4 @@
-"""Decides which entry VM of a failure domain watches the store for the others."""
+"""Decides which entry VM of a failure domain watches the store, and from whom others take it."""
 
 from __future__ import annotations
 
@@ -13,7 +13,10 @@
     from carawayquay.entry_peers import EntryPeers
     from carawayquay.load_reports import VMIdentity
 
-__all__ = ["on_duty"]
+__all__ = ["neighbour", "on_duty"]
+
+#: VMs that take what is in force from one and the same VM when a domain starts.
+_FOLLOWERS = 2
 
 _rank = lru_cache(maxsize=1024)(score)
 
@@ -33,3 +36,15 @@
         if before and peer.report.watching:
             return False
     return True
+
+
+def neighbour(own: VMIdentity, peers: EntryPeers, now: timedelta) -> VMIdentity | None:
+    """Return the VM of whom one that starts takes the objects, or None if it lists the store.
+
+    The live VMs of a domain stand in the order of the duty. The first lists the store, and each one
+    hands on to a few, so that the link of none carries the objects of a whole domain.
+    """
+    order = [own, *(p.identity for p in peers.live(now) if p.identity.domain == own.domain)]
+    order.sort(key=lambda vm: _rank(own.domain, vm.name), reverse=True)
+    place = order.index(own)
+    return order[(place - 1) // _FOLLOWERS] if place else None
--- a/packages/core/tests/test_watch_duty.py
+++ b/packages/core/tests/test_watch_duty.py
@@ -7,7 +7,7 @@
 
 from carawayquay.entry_peers import EntryPeers
 from carawayquay.load_reports import LoadReport, VMIdentity
-from carawayquay.watch_duty import on_duty
+from carawayquay.watch_duty import neighbour, on_duty
 
 NOW = timedelta(seconds=9)
 VMS = [VMIdentity(f"vm-{index}", f"10.0.0.{index}", "a", "west", 1) for index in range(4)]
@@ -48,3 +48,25 @@
     other = VMIdentity("vm-9", "10.0.0.9", "b", "west", 1)
     peers.receive(LoadReport(other, 1, False, (), True), NOW)
     assert on_duty(VMS[0], peers, NOW)
+
+
+def test_vms_that_start_take_the_objects_from_each_other_and_one_from_the_store():
+    sources = []
+    for own in VMS:
+        peers = EntryPeers(own)
+        for vm in VMS:
+            if vm != own:
+                peers.receive(LoadReport(vm, 1, False, ()), NOW)
+        sources.append(neighbour(own, peers, NOW))
+    assert sources.count(None) == 1
+    assert max(sources.count(vm) for vm in VMS) <= 2
+    for own, source in zip(VMS, sources, strict=True):
+        seen = [own]
+        while source is not None:
+            assert source not in seen
+            seen.append(source)
+            source = sources[VMS.index(source)]
+
+
+def test_vm_that_hears_nobody_lists_the_store():
+    assert neighbour(VMS[0], EntryPeers(VMS[0]), NOW) is None
--- a/packages/gateway/src/carawayquay_gateway/admin.py
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from carawayquay_platform.addresses import READY_PATH, object_kind_of
-from carawayquay_platform.store import listing_body
+from carawayquay_platform.addresses import READY_PATH, object_kind_of, watched_revision_of
+from carawayquay_platform.store import changes_body, listing_body
 from carawayquay_wire.http import HttpResponse, json_response
 
 if TYPE_CHECKING:
@@ -43,12 +43,22 @@
             case "/dump":
                 return json_response(200, self._state.dump())
             case path:
-                return self._list(object_kind_of(path))
+                return self._objects(object_kind_of(path), watched_revision_of(request.target))
 
-    def _list(self, kind: str | None) -> HttpResponse:
+    def _objects(self, kind: str | None, since: int | None) -> HttpResponse:
+        """Answer as the store does, but a watch at once.
+
+        :param since: the revision after which changes are asked for, or None for all objects
+        """
         for replica in self._state.replicas.values():
-            if replica.kind.value == kind and replica.revision is not None:
+            if replica.kind.value != kind or replica.revision is None:
+                continue
+            if since is None:
                 return json_response(200, listing_body(replica.changed, replica.objects))
+            changes = replica.changes_since(since)
+            return (
+                HttpResponse(410) if changes is None else json_response(200, changes_body(changes))
+            )
         return HttpResponse(404)
 
 
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -136,7 +136,7 @@
             await group.spawn(self._summaries.run)
             for watcher in self._watchers:
                 await group.spawn(watcher.run)
-            await group.spawn(self._keep_entry)
+            await group.spawn(self._entry.run)
             await group.spawn(self._update)
             await group.spawn(self._flush)
             await group.spawn(SettingsReloader(self._state, self._path).run, ReloadSignal())
@@ -146,10 +146,6 @@
         _log.info(Event.STOPPED, vm=self._settings.name)
         self._output.flush()
 
-    async def _keep_entry(self) -> None:
-        await self._entry.run()
-        await curio.Event().wait()
-
     async def _update(self) -> None:
         """Move what changes with time: shares of regions, limits of connections."""
         applied = None
--- a/packages/gateway/src/carawayquay_gateway/entry.py
+++ b/packages/gateway/src/carawayquay_gateway/entry.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import curio
 
 from carawayquay.backoff import Backoff
 from carawayquay.errors import ConflictError, ObjectError, StoreError
+from carawayquay.watch_duty import on_duty
 from carawayquay_platform.objects import ObjectKind, entry_vm_spec, parse_entry_vm
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from carawayquay_gateway.state import GatewayState
@@ -23,12 +25,17 @@
 
 _log = EventLog("entry")
 
+_Result = TypeVar("_Result")
+
 _FIRST_RETRY = timedelta(milliseconds=500)
 _LAST_RETRY = timedelta(seconds=5)
 
-#: Time in which a VM whose entry is found at the start must be heard of, or its entry goes.
+#: Time in which a VM whose entry is found must be heard of, or its entry goes.
 _UNHEARD_SECONDS = 90
 
+#: Time in which seeds tell of other VMs; only where none does, entries in the store are listed.
+_LISTEN_SECONDS = 1.5
+
 
 class EntryKeeper:
     """Writes this VM's entry, learns others from theirs, and removes those of VMs long gone."""
@@ -39,9 +46,11 @@
         store: PlatformStore,
         random: Random,
         unheard_seconds: float = _UNHEARD_SECONDS,
+        listen_seconds: float = _LISTEN_SECONDS,
     ) -> None:
         self._state = state
         self._unheard_seconds = unheard_seconds
+        self._listen_seconds = listen_seconds
         self._store = store
         self._backoff = Backoff(_FIRST_RETRY, _LAST_RETRY, random)
         self._revision: int | None = None
@@ -52,19 +61,37 @@
         return self._revision is not None
 
     async def run(self) -> None:
-        """Write the entry, then watch over those that were found."""
+        """Write the entry, then watch over those that are found, until cancelled."""
+        await self._retried(self._write)
+        await curio.sleep(self._listen_seconds)
+        found: tuple[StoredObject, ...] = ()
+        if self._state.peers.known == 1:
+            found = await self._retried(self._list)
+        while True:
+            await curio.sleep(self._unheard_seconds)
+            await self._remove_unheard(found)
+            found = ()
+            if on_duty(self._state.identity, self._state.peers, self._state.clock.now()):
+                found = await self._retried(self._list)
+
+    async def _retried(self, call: Callable[[], Awaitable[_Result]]) -> _Result:
+        """Return the result of calls to the store, made until they are answered."""
         while True:
             try:
-                listing = await self._store.list(ObjectKind.ENTRY_VMS)
-                await self._write({stored.name: stored for stored in listing.objects})
-                break
+                return await call()
             except StoreError as error:
                 _log.warning(Event.ENTRY_UNWRITTEN, reason=error)
                 await curio.sleep(self._backoff.next().total_seconds())
+
+    async def _list(self) -> tuple[StoredObject, ...]:
+        """Learn VMs from their entries, and return those.
+
+        :raises StoreError: if the store does not answer
+        """
+        listing = await self._store.list(ObjectKind.ENTRY_VMS)
         for stored in listing.objects:
             self._learn(stored)
-        await curio.sleep(self._unheard_seconds)
-        await self._remove_unheard(listing.objects)
+        return listing.objects
 
     async def remove(self) -> None:
         """Remove this VM's entry, at a planned stop."""
@@ -85,20 +112,22 @@
         own = stored is not None and stored.value == entry_vm_spec(self._state.identity)
         return stored.revision if own else None
 
-    async def _write(self, entries: dict[str, StoredObject]) -> None:
-        """Write the entry in place of the one that was found.
+    async def _write(self) -> None:
+        """Write the entry, in place of an earlier start's if there is one.
 
         :raises StoreError: if that failed
         """
         identity = self._state.identity
         spec = entry_vm_spec(identity)
-        found = entries.get(identity.name)
-        if found is not None:
+        try:
+            written = await self._store.create(ObjectKind.ENTRY_VMS, identity.name, spec)
+        except ConflictError:
+            found = await self._store.get(ObjectKind.ENTRY_VMS, identity.name)
+            if found is None:
+                raise
             written = await self._store.replace(
                 ObjectKind.ENTRY_VMS, identity.name, spec, found.revision
             )
-        else:
-            written = await self._store.create(ObjectKind.ENTRY_VMS, identity.name, spec)
         self._revision = written.revision
 
     def _learn(self, stored: StoredObject) -> None:
@@ -108,11 +137,12 @@
             _log.warning(Event.OBJECT_REFUSED, name=stored.name, reason=error)
 
     async def _remove_unheard(self, entries: tuple[StoredObject, ...]) -> None:
+        """Remove entries of VMs of the own domain that were not heard of since they were found.
+
+        Those of other domains are left to these, which may only be cut off from here.
+        """
         for stored in entries:
-            if stored.name == self._state.identity.name:
-                continue
-            peer = self._state.peers.get(stored.name)
-            if peer is not None and peer.heard is not None:
+            if not self._unheard(stored):
                 continue
             try:
                 await self._store.delete(ObjectKind.ENTRY_VMS, stored.name, stored.revision)
@@ -120,3 +150,15 @@
                 continue
             except StoreError as error:
                 _log.warning(Event.ENTRY_UNWRITTEN, entry=stored.name, reason=error)
+
+    def _unheard(self, stored: StoredObject) -> bool:
+        try:
+            identity = parse_entry_vm(stored)
+        except ObjectError:
+            # It may be that of another version of this program.
+            return False
+        own = self._state.identity
+        if identity.name == own.name or identity.domain != own.domain:
+            return False
+        peer = self._state.peers.get(identity.name)
+        return peer is None or peer.heard is None
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,7 @@
 from carawayquay.backoff import Backoff
 from carawayquay.errors import HistoryLostError, StoreError
 from carawayquay.membership import Address
-from carawayquay.watch_duty import on_duty
+from carawayquay.watch_duty import neighbour, on_duty
 from carawayquay_platform.store import PlatformStore
 from carawayquay_wire.events import Event, EventLog
 
@@ -26,8 +27,9 @@
 
 _log = EventLog("watcher")
 
-#: Longest wait of a watch: so long does a watch that the store never answers go unnoticed.
-_WAIT = timedelta(seconds=8)
+#: Longest wait of a watch: so long does a watch that the store never answers go unnoticed, unless
+#: another VM is seen to have a change that it should have brought.
+_WAIT = timedelta(seconds=16)
 
 #: The same for a while after a failure, in which calls may get lost without a word.
 _UNSURE_WAIT = timedelta(seconds=2)
@@ -37,7 +39,13 @@
 _LAST_RETRY = timedelta(milliseconds=800)
 
 #: Time for which further changes are gathered before the next call, as each call has a price.
-_GATHER_SECONDS = 0.15
+_GATHER_SECONDS = 0.3
+
+#: Time after the start in which a neighbour may have listed the objects: the first VM of a domain
+#: lists them itself as soon as it has heard who is there, the others after the longer time.
+_FIRST_LISTS_AFTER = timedelta(seconds=0.5)
+_OTHERS_LIST_AFTER = timedelta(seconds=3)
+_NEIGHBOUR_SECONDS = 0.2
 
 #: How often it is looked whether another VM has seen a change that this one has not.
 _COMPARE_SECONDS = 0.25
@@ -73,6 +81,7 @@
 
     async def run(self) -> None:
         """Follow the store, or those who do, until cancelled."""
+        await self._start_from_neighbour()
         while True:
             self._stale = self._stale or self._state.wakes != self._wakes
             if not self._stale and not self._on_duty():
@@ -91,6 +100,20 @@
     def _on_duty(self) -> bool:
         return on_duty(self._state.identity, self._state.peers, self._state.clock.now())
 
+    async def _start_from_neighbour(self) -> None:
+        """Take the objects from a VM of the domain, if one has them before long."""
+        state = self._state
+        started = state.clock.now()
+        while True:
+            now = state.clock.now()
+            before = neighbour(state.identity, state.peers, now)
+            if now - started >= (_FIRST_LISTS_AFTER if before is None else _OTHERS_LIST_AFTER):
+                return
+            if before is not None and await self._pull(before.host, noted=False):
+                self._stale = False
+                return
+            await curio.sleep(_NEIGHBOUR_SECONDS)
+
     async def _follow_peers(self) -> None:
         """Take changes from VMs that watch the store, for a short while."""
         self._state.answered.pop(self._replica.kind, None)
@@ -174,22 +197,40 @@
         newest = self._newest_at_peers()
         if newest is None or newest.revision <= (self._replica.revision or 0):
             return
-        address = Address(newest.host, self._state.settings.admin.port)
+        if await self._pull(newest.host):
+            self._stale = self._stale and self._on_duty()
+
+    async def _pull(self, host: str, *, noted: bool = True) -> bool:
+        """Take what another VM knows; return whether it answered.
+
+        :param noted: whether it is worth a log line that it did not
+        """
+        address = Address(host, self._state.settings.admin.port)
         peer = PlatformStore(address, _PEER_TIMEOUT)
         try:
-            listing = await peer.list(self._replica.kind)
+            await self._pull_from(peer)
         except StoreError as error:
-            _log.warning(
-                Event.PULL_FAILED,
-                kind=self._replica.kind.name,
-                peer=address,
-                reason=error,
-            )
-            return
+            if noted:
+                kind = self._replica.kind.name
+                _log.warning(Event.PULL_FAILED, kind=kind, peer=address, reason=error)
+            return False
         finally:
             await peer.close()
-        self._apply_listing(listing, from_peer=True)
-        self._stale = self._stale and self._on_duty()
+        return True
+
+    async def _pull_from(self, peer: PlatformStore) -> None:
+        """Take what changed, or all objects where the other VM does not remember that.
+
+        :raises StoreError: if it does not answer
+        """
+        kind, revision = self._replica.kind, self._replica.revision
+        if revision is not None:
+            with suppress(HistoryLostError):
+                changes = await peer.watch(kind, revision, timedelta())
+                if changes.revision > revision:
+                    self._replica.apply_changes(changes)
+                return
+        self._apply_listing(await peer.list(kind), from_peer=True)
 
     def _apply_listing(self, listing: ObjectListing, *, from_peer: bool = False) -> None:
         if self._replica.apply_listing(listing, from_peer=from_peer):
--- a/packages/gateway/tests/test_entry.py
+++ b/packages/gateway/tests/test_entry.py
@@ -25,7 +25,7 @@
     await curio.spawn(run_server, sock, store.http.serve, daemon=True)
     address = Address("127.0.0.1", sock.getsockname()[1])
     client = PlatformStore(address, timedelta(milliseconds=300))
-    return EntryKeeper(state, client, random.Random(1), unheard_seconds)
+    return EntryKeeper(state, client, random.Random(1), unheard_seconds, listen_seconds=0.1)
 
 
 async def _until(condition):
@@ -93,6 +93,8 @@
         for index in (2, 3, 4):
             vm = identity(f"puget-a-{index}", f"127.0.0.{index}")
             await store.put(KIND, vm.name, entry_vm_spec(vm))
+        other_domain = identity("inland-a-5", "127.0.0.5", "inland-a", "inland")
+        await store.put(KIND, "inland-a-5", entry_vm_spec(other_domain))
         await store.put(KIND, "broken", {"host": 7})
         keeper = await _keeper(store, state, unheard_seconds=0.3)
         await curio.spawn(keeper.run, daemon=True)
@@ -104,5 +106,19 @@
         await _until(lambda: store.object(KIND, "puget-a-3") is None)
         assert store.object(KIND, "puget-a-2")
         assert store.object(KIND, "puget-a-4")
+        assert store.object(KIND, "inland-a-5")
+        assert store.object(KIND, "broken")
+
+    run(check)
+
+
+def test_entries_are_not_listed_where_seeds_told_of_other_vms():
+    async def check():
+        store, state = PlatformStoreStandIn(), new_state()
+        keeper = await _keeper(store, state)
+        state.peers.learn(identity("puget-a-2", "127.0.0.2"), state.clock.now())
+        await curio.spawn(keeper.run, daemon=True)
+        await curio.sleep(0.4)
+        assert [call.partition(" ")[0] for call in store.calls] == ["POST"]
 
     run(check)
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -12,11 +12,12 @@
 
 from carawayquay.clock import MonotonicClock
 from carawayquay.crash_counts import CrashCounts
-from carawayquay.load_reports import short_hash
+from carawayquay.load_reports import DomainSummary, short_hash
 from carawayquay.membership import Address
 from carawayquay.warm_news import WarmNews
 from carawayquay_gateway.peers import PeerExchange
 from carawayquay_gateway.summaries import SummaryExchange
+from carawayquay_wire.reports import encode_summary
 
 _DOMAINS = ("puget-a", "puget-b", "inland-a")
 
@@ -33,6 +34,7 @@
     warm: WarmNews
     summaries: SummaryExchange
     exchange: PeerExchange
+    tasks: list = attrs.field(factory=list)
 
 
 def _free_port():
@@ -66,8 +68,8 @@
     port = _free_port()
     vms = [_vm(index, port, "127.0.8.1") for index in range(count)]
     for vm in vms:
-        await curio.spawn(vm.exchange.run, daemon=True)
-        await curio.spawn(vm.summaries.run, daemon=True)
+        for part in (vm.exchange, vm.summaries):
+            vm.tasks.append(await curio.spawn(part.run, daemon=True))
     await _until(lambda: all(len(vm.state.peers.live_vms(_now(vm))) == count - 1 for vm in vms))
     return vms
 
@@ -115,6 +117,67 @@
     run(check)
 
 
+def _relay(vms, domain, rank):
+    mates = [vm for vm in vms if vm.state.identity.domain == domain]
+    name = mates[0].summaries.relays[rank]
+    return next(vm for vm in mates if vm.state.identity.name == name)
+
+
+async def _agreed(vms):
+    """Wait until the VMs of each domain agree about their relays."""
+    await _until(lambda: len({vm.summaries.relays for vm in vms}) == len(_DOMAINS))
+
+
+def test_only_relays_send_to_other_domains():
+    async def check():
+        vms = await _started(12)
+        await _agreed(vms)
+        await curio.sleep(1.0)
+        sent = [vm.state.metrics.dump()["counters"] for vm in vms]
+        before = [counts.get('datagrams_sent_total{kind="summary"}', 0) for counts in sent]
+        await curio.sleep(2.0)
+        for vm, count in zip(vms, before, strict=True):
+            counters = vm.state.metrics.dump()["counters"]
+            grown = counters.get('datagrams_sent_total{kind="summary"}', 0) - count
+            assert (grown > 0) == (vm.state.identity.name in vm.summaries.relays)
+
+    run(check)
+
+
+@pytest.mark.parametrize("fault", ["lost", "deaf"])
+def test_second_relay_passes_on_what_the_first_does_not(fault):
+    async def check():
+        vms = await _started(12)
+        await _agreed(vms)
+        first = _relay(vms, "puget-b", 0)
+        if fault == "lost":
+            for task in first.tasks:
+                await task.cancel()
+        else:
+            first.summaries._pass_on = lambda *_: None
+        sender = next(vm for vm in vms if vm.state.identity.domain == "inland-a")
+        sender.state.stats("t1").running = 4
+        mates = [vm for vm in vms if vm.state.identity.domain == "puget-b" and vm is not first]
+        code = short_hash("t1")
+        await _until(lambda: all(vm.state.peers.running(code) == 4 for vm in mates))
+
+    run(check)
+
+
+def test_summary_that_reaches_no_relay_is_passed_to_one():
+    async def check():
+        vms = await _started(12)
+        await _agreed(vms)
+        mates = [vm for vm in vms if vm.state.identity.domain == "puget-b"]
+        other = next(vm for vm in mates if vm.state.identity.name not in vm.summaries.relays)
+        far = identity("graz-1", "127.0.8.99", "graz-a", "graz")
+        data = encode_summary(DomainSummary(far, 1, (), 1, (far,)))
+        other.summaries._take_datagram(data, far.host)
+        await _until(lambda: all("graz-1" in _live_names(vm) for vm in mates))
+
+    run(check)
+
+
 def test_datagrams_that_are_no_reports_do_no_harm():
     async def check():
         first, second, _ = await _started()
--- /dev/null
+++ b/packages/gateway/tests/test_replicas.py
@@ -0,0 +1,106 @@
+"""A copy of the store's objects tells others what changed, or that it does not remember."""
+
+from __future__ import annotations
+
+import attrs
+from gateway_builders import stored
+from hypothesis import given
+from hypothesis import strategies as st
+
+from carawayquay_gateway.replicas import Adopter, Replica
+from carawayquay_platform.objects import ObjectKind
+from carawayquay_platform.store import ObjectChanges, ObjectEvent, ObjectListing
+
+
+def _replica(revision=10, *names):
+    replica = Replica(ObjectKind.TARGETS, Adopter(lambda _: None, lambda _: None))
+    objects = tuple(stored(name, {}, revision) for name in names)
+    replica.apply_listing(ObjectListing(revision, objects))
+    return replica
+
+
+def _names(replica):
+    return sorted(item.name for item in replica.objects)
+
+
+def _put(replica, name, revision):
+    event = ObjectEvent(stored(name, {}, revision), deleted=False)
+    replica.apply_changes(ObjectChanges(revision, (event,)))
+
+
+def _remove(replica, name, revision):
+    event = ObjectEvent(stored(name, {}, 1), deleted=True)
+    replica.apply_changes(ObjectChanges(revision, (event,)))
+
+
+def test_changes_since_a_revision_are_told_once():
+    replica = _replica(10, "a", "b")
+    _put(replica, "c", 12)
+    _remove(replica, "a", 13)
+    changes = replica.changes_since(10)
+    assert [(e.object.name, e.deleted) for e in changes.events] == [("c", False), ("a", True)]
+    assert [e.object.name for e in replica.changes_since(12).events] == ["a"]
+    assert replica.changes_since(13).events == ()
+
+
+def test_what_was_removed_before_the_copy_was_made_is_not_passed_over_in_silence():
+    follower = _replica(10, "a", "gone")
+    fresh = _replica(20, "a")
+    assert fresh.changes_since(follower.revision) is None
+
+
+def test_removal_that_a_list_shows_is_told_to_others():
+    follower, leader = _replica(10, "a", "b"), _replica(10, "a", "b")
+    leader.apply_listing(ObjectListing(15, (stored("a", {}, 10),)))
+    assert leader.changed > follower.changed
+    follower.apply_changes(leader.changes_since(follower.revision))
+    assert _names(follower) == ["a"]
+
+
+def test_history_is_bounded():
+    replica = _replica(10)
+    for revision in range(11, 1500):
+        _put(replica, "a", revision)
+    assert replica.changes_since(11) is None
+    assert len(replica.changes_since(1400).events) == 99
+
+
+@attrs.define
+class _Pair:
+    leader: Replica
+    follower: Replica
+    revision: int = 10
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["put", "remove", "follow", "restart"]), st.sampled_from("abc")),
+        max_size=30,
+    )
+)
+def test_follower_that_asks_ends_with_what_the_leader_has(steps):
+    pair = _Pair(_replica(), _replica())
+    for action, name in steps:
+        pair.revision += 1
+        if action == "put":
+            _put(pair.leader, name, pair.revision)
+        elif action == "remove":
+            _remove(pair.leader, name, pair.revision)
+        elif action == "restart":
+            objects = tuple(pair.leader.objects)
+            pair.leader = Replica(ObjectKind.TARGETS, Adopter(lambda _: None, lambda _: None))
+            pair.leader.apply_listing(ObjectListing(pair.revision, objects))
+        else:
+            _follow(pair)
+    _follow(pair)
+    assert _names(pair.follower) == _names(pair.leader)
+
+
+def _follow(pair):
+    changes = pair.leader.changes_since(pair.follower.revision)
+    if changes is not None:
+        pair.follower.apply_changes(changes)
+        return
+    objects = tuple(pair.leader.objects)
+    revision = max(pair.leader.changed, pair.follower.revision)
+    pair.follower.apply_listing(ObjectListing(revision, objects), from_peer=True)
