Spread relaying over a domain's VMs, and let what is periodic wake a process together

Towards each other domain a domain has relays of its own, so that no VM passes on all summaries; paces follow the copies that a relay has to send.

--- /dev/null
+++ b/benchmarks/src/carawayquay_benchmarks/control_slopes.py
@@ -0,0 +1,384 @@
+"""Measures what control costs one real entry VM in fleets of growing size.
+
+One gateway runs as a process. This program plays the store and all other VMs: those of the
+gateway's domain send load reports, and other domains send summaries, at the paces that the product
+itself computes. No request is sent, so all that the process does is control.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import attrs
+import curio
+import fire
+from curio.network import run_server, tcp_server_socket
+
+from carawayquay.domain_relays import relays
+from carawayquay.load_reports import (
+    DomainSummary,
+    LoadReport,
+    ServiceRate,
+    TargetCount,
+    VMIdentity,
+    WarmObject,
+    short_hash,
+)
+from carawayquay.membership import Address
+from carawayquay.report_pace import Distance, report_pace, summary_pace
+from carawayquay_standins.platform_store import PlatformStoreStandIn
+from carawayquay_wire.http import HttpRequest
+from carawayquay_wire.http_client import HttpClient
+from carawayquay_wire.reports import encode_report, encode_summary
+
+__all__ = ["ControlCost", "main", "measure"]
+
+_DEPLOY = Path(__file__).resolve().parents[3] / "deploy" / "gateway.py"
+_SERVICES = ("granite", "sledway", "pebblecal")
+_SETTLE_SECONDS = 6.0
+_PORT_STEP = 10
+
+#: What one VM tells: targets at which it has requests, and objects that became warm.
+_COUNTS = 15
+_NEWS = 4
+
+#: What a domain tells.
+_DOMAIN_COUNTS = 120
+_DOMAIN_NEWS = 40
+
+
+@attrs.frozen
+class Fleet:
+    """The size of a fleet.
+
+    :param vms: entry VMs in all domains
+    :param domains: failure domains, three to a region
+    :param targets: registered targets
+    """
+
+    vms: int
+    domains: int
+    targets: int = 550
+
+    @property
+    def near(self) -> int:
+        """The VMs of one domain."""
+        return self.vms // self.domains
+
+
+@attrs.frozen
+class ControlCost:
+    """What control costs one VM.
+
+    :param relay: whether it is the first relay of its domain towards another one
+    :param core: fraction of a core
+    :param resident_mb: resident memory
+    :param sent: KB/s of datagrams sent
+    :param taken: KB/s of datagrams taken
+    :param start_seconds: processor time from the start until it is ready
+    """
+
+    fleet: Fleet
+    relay: bool
+    core: float
+    resident_mb: float
+    sent: float
+    taken: float
+    start_seconds: float
+
+    def __str__(self) -> str:
+        role = "relay" if self.relay else "member"
+        return (
+            f"{self.fleet.vms:5} VMs {self.fleet.domains:3} domains {role:6}  "
+            f"core {100 * self.core:5.2f}%  resident {self.resident_mb:5.1f} MB  "
+            f"sent {self.sent:6.1f} KB/s  taken {self.taken:6.1f} KB/s  "
+            f"start {self.start_seconds:.2f} s"
+        )
+
+
+def main(
+    sizes: str = "16:6,50:6,100:6,200:9,400:18,1000:50", seconds: float = 10.0, targets: int = 550
+) -> None:
+    """Print the cost at each size, for a VM that is a relay towards few or no domains, and others.
+
+    :param sizes: VMs and domains of each fleet
+    :param seconds: how long each is measured
+    """
+    for size in sizes.split(",") if isinstance(sizes, str) else sizes:
+        vms, _, domains = size.partition(":")
+        fleet = Fleet(int(vms), int(domains), targets)
+        for relay in (False, True):
+            print(measure(fleet, relay, seconds), flush=True)
+
+
+def measure(fleet: Fleet, relay: bool, seconds: float) -> ControlCost:
+    """Return what control costs one VM of a fleet.
+
+    :param relay: whether it is the first relay of its domain towards another one
+    :param seconds: how long it is measured
+    """
+    return curio.run(_Play(fleet, relay).measure, seconds)
+
+
+class _Play:
+    """The rest of the fleet, around one gateway process."""
+
+    def __init__(self, fleet: Fleet, relay: bool) -> None:
+        self._fleet = fleet
+        self._relay = relay
+        self._random = random.Random(1)
+        self._port = 20_000 + self._random.randrange(200) * _PORT_STEP + os.getpid() % 3000
+        self._domains = [f"domain-{index}" for index in range(fleet.domains)]
+        self._regions = {name: f"region-{i // 3}" for i, name in enumerate(self._domains)}
+        mates = [f"vm-0-{number}" for number in range(1, fleet.near)]
+        own = next(
+            name
+            for name in (f"vm-0-own{index}" for index in range(10_000))
+            if self._plays(name, mates, relay)
+        )
+        self._own = self._vm(0, 250, own)
+        self._mates = [self._vm(0, number, name) for number, name in enumerate(mates, 1)]
+        self._codes = [short_hash(f"i-{index:08x}") for index in range(fleet.targets)]
+
+    def _plays(self, name: str, mates: list[str], relay: bool) -> bool:
+        """Return whether a VM of a name is a relay towards at least one domain, or towards none."""
+        towards = [
+            name in relays("domain-0", domain, [*mates, name])[:1] for domain in self._domains[1:]
+        ]
+        # A domain with few VMs towards many domains has no VM that is no relay.
+        fewest = len(towards) // self._fleet.near
+        return any(towards) if relay else sum(towards) <= fewest
+
+    def _vm(self, domain: int, number: int, name: str = "") -> VMIdentity:
+        host = f"127.{40 + domain // 200}.{domain % 200}.{number}"
+        name = name or f"vm-{domain}-{number}"
+        return VMIdentity(
+            name, host, self._domains[domain], self._regions[self._domains[domain]], 1
+        )
+
+    async def measure(self, seconds: float) -> ControlCost:
+        """Start the process, play the fleet, and return what the process used."""
+        store = PlatformStoreStandIn()
+        await self._fill(store)
+        sock = tcp_server_socket("127.0.0.1", 0)
+        await curio.spawn(run_server, sock, store.http.serve, daemon=True)
+        with ExitStack() as stack:
+            folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+            settings = folder / "gateway.ini"
+            settings.write_text(self._settings_text(sock.getsockname()[1]))
+            process = subprocess.Popen(
+                [sys.executable, str(_DEPLOY)],
+                env=os.environ | {"CARAWAYQUAY_NODE_FILE": str(settings)},
+                stdout=subprocess.DEVNULL,
+            )
+            try:
+                return await self._measure_process(process.pid, seconds)
+            finally:
+                process.terminate()
+                process.wait()
+
+    async def _measure_process(self, pid: int, seconds: float) -> ControlCost:
+        for mate in self._mates:
+            await curio.spawn(self._report, mate, daemon=True)
+        for index in range(1, self._fleet.domains):
+            await curio.spawn(self._summarize, index, daemon=True)
+        while not await self._ready():
+            await curio.sleep(0.05)
+        started = _processor_seconds(pid)
+        await curio.sleep(_SETTLE_SECONDS)
+        used, passed = _processor_seconds(pid), await self._bytes()
+        await curio.sleep(seconds)
+        used_after, passed_after = _processor_seconds(pid), await self._bytes()
+        return ControlCost(
+            self._fleet,
+            self._relay,
+            (used_after - used) / seconds,
+            _resident_mb(pid),
+            (passed_after["sent"] - passed["sent"]) / seconds / 1000,
+            (passed_after["taken"] - passed["taken"]) / seconds / 1000,
+            started,
+        )
+
+    async def _report(self, vm: VMIdentity) -> None:
+        """Send the load reports of one VM of the process's domain."""
+        sock = _datagram_socket(vm.host)
+        pace = report_pace(Distance.DOMAIN, self._fleet.near - 1)
+        await curio.sleep(self._random.random() * pace.interval.total_seconds())
+        sequence = 0
+        while True:
+            sequence += 1
+            report = LoadReport(
+                sender=vm,
+                sequence=sequence,
+                leaving=False,
+                revisions=(2, self._fleet.targets + 2, 0),
+                watching=vm is self._mates[0],
+                targets=self._counts(_COUNTS),
+                rates=tuple(ServiceRate(short_hash(name), 3.0) for name in _SERVICES),
+                warmed=self._news(_NEWS),
+                members=tuple(self._mates[:3]) if sequence % 11 == 0 else (),
+            )
+            sock.sendto(encode_report(report), (self._own.host, self._port + 4))
+            await curio.sleep(pace.interval.total_seconds())
+
+    async def _summarize(self, index: int) -> None:
+        """Send the summaries of one other domain, as they reach the process."""
+        members = tuple(self._vm(index, number) for number in range(1, self._fleet.near + 1))
+        apart = Distance.REGION if members[0].region == self._own.region else Distance.FAR
+        counts: dict[Distance, int] = {}
+        for name in self._domains[1:]:
+            same = self._regions[name] == self._own.region
+            distance = Distance.REGION if same else Distance.FAR
+            counts[distance] = counts.get(distance, 0) + 1
+        pace = summary_pace(apart, counts, self._fleet.near - 1)
+        # Where the process is no relay, it gets what the first relay of its domain passes on.
+        names = [self._own.name, *(mate.name for mate in self._mates)]
+        first = relays("domain-0", self._domains[index], names)[0]
+        passing = next((mate for mate in self._mates if mate.name == first), None)
+        sock = _datagram_socket(passing.host if passing is not None else members[0].host)
+        await curio.sleep(self._random.random() * pace.interval.total_seconds())
+        sequence = 0
+        while True:
+            sequence += 1
+            summary = DomainSummary(
+                sender=members[0],
+                sequence=sequence,
+                revisions=(2, self._fleet.targets + 2, 0),
+                vms=len(members),
+                members=members if sequence % 4 == 1 else (),
+                targets=self._counts(_DOMAIN_COUNTS),
+                rates=tuple(ServiceRate(short_hash(name), 40.0) for name in _SERVICES),
+                warmed=self._news(_DOMAIN_NEWS),
+            )
+            sock.sendto(encode_summary(summary), (self._own.host, self._port + 5))
+            await curio.sleep(pace.interval.total_seconds())
+
+    def _counts(self, number: int) -> tuple[TargetCount, ...]:
+        chosen = self._random.sample(self._codes, min(number, len(self._codes)))
+        return tuple(TargetCount(code, 1 + code % 5) for code in chosen)
+
+    def _news(self, number: int) -> tuple[WarmObject, ...]:
+        return tuple(
+            WarmObject(self._random.choice(self._codes), self._random.randrange(2000))
+            for _ in range(number)
+        )
+
+    async def _ready(self) -> bool:
+        try:
+            address = Address(self._own.host, self._port + 1)
+            request = HttpRequest("GET", "/ready", (), b"")
+            return (await HttpClient().exchange(address, request, 1.0)).status == 200
+        except Exception:
+            return False
+
+    async def _bytes(self) -> dict[str, float]:
+        """Return the bytes of datagrams that the process has sent and taken."""
+        address = Address(self._own.host, self._port + 3)
+        request = HttpRequest("GET", "/metrics", (), b"")
+        text = (await HttpClient().exchange(address, request, 5.0)).body.decode()
+        found = {"sent": 0.0, "taken": 0.0}
+        for line in text.splitlines():
+            for way in found:
+                if f"datagram_bytes_{way}_total{{" in line:
+                    found[way] += float(line.rpartition(" ")[2])
+        return found
+
+    async def _fill(self, store: PlatformStoreStandIn) -> None:
+        await store.put("config", "main", _configuration())
+        for index in range(self._fleet.targets):
+            await store.put(
+                "servers",
+                f"i-{index:08x}",
+                {
+                    "service": _SERVICES[index % len(_SERVICES)],
+                    "address": f"127.90.0.1:{10_000 + index}",
+                    "zone": self._domains[index % len(self._domains)],
+                    "max_concurrency": 9,
+                    "state": "ready",
+                    "cold_left": "0ms",
+                    "sequence": 1,
+                },
+            )
+
+    def _settings_text(self, store_port: int) -> str:
+        host, port = self._own.host, self._port
+        regions = "\n".join(f"{domain} = {region}" for domain, region in self._regions.items())
+        return f"""
+[vm]
+name = {self._own.name}
+domain = {self._own.domain}
+region = {self._own.region}
+[listen]
+callers = {host}:{port}
+ready = {host}:{port + 1}
+lookups = {host}:{port + 2}
+admin = {host}:{port + 3}
+ports = {port + 4},{port + 6}
+[peers]
+seeds = {self._mates[0].host}:{port + 3}
+[store]
+address = 127.0.0.1:{store_port}
+[bounds]
+lookup_life = 5s
+stop = 2s
+[regions]
+{regions}
+"""
+
+
+def _configuration() -> dict[str, Any]:
+    paths = [
+        {
+            "name": f"r-{name}",
+            "path_prefix": f"/{name}/",
+            "kind": "idempotent",
+            "timeout": "3s",
+            "target_latency": "1s",
+            "service": name,
+            "max_attempts": 2,
+            "sticky": True,
+        }
+        for name in _SERVICES
+    ]
+    return {
+        "version": "r1",
+        "services": [{"name": name, "max_conns": 100} for name in _SERVICES],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1048576,
+            "header_timeout": "3s",
+            "idle_timeout": "15s",
+        },
+        "virtual_hosts": [{"host": "stones.example", "paths": paths}],
+    }
+
+
+def _datagram_socket(host: str) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind((host, 0))
+    return sock
+
+
+def _processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_mb(pid: int) -> float:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024 / 1e6
+    return 0.0
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/packages/core/src/carawayquay/domain_relays.py
+++ b/packages/core/src/carawayquay/domain_relays.py
@@ -13,19 +13,23 @@
 
 __all__ = ["RELAYS", "relays"]
 
-#: Relays of a domain; the second one goes on where the first is cut off or gone.
+#: Relays between two domains at each side; the second goes on where the first is cut off or gone.
 RELAYS = 2
 
-_rank = lru_cache(maxsize=8192)(score)
+_rank = lru_cache(maxsize=65536)(score)
 
 
-def relays(domain: str, vms: Iterable[str]) -> tuple[str, ...]:
-    """Return the relays among the live VMs of a domain, the first one first.
+def relays(domain: str, other: str, vms: Iterable[str]) -> tuple[str, ...]:
+    """Return the relays of a domain towards another one, the first one first.
 
     Nobody is elected: VMs that know the same ones live compute the same, and where they differ for
-    a while, some summaries come twice or late.
+    a while, some summaries come twice or late. Each other domain has relays of its own, so that
+    the work and the bytes are spread over the domain.
 
-    >>> relays("a", ["vm-1", "vm-2", "vm-3"]) == relays("a", ["vm-3", "vm-2", "vm-1"])
+    :param vms: the live VMs of the domain
+
+    >>> relays("a", "b", ["vm-1", "vm-2", "vm-3"]) == relays("a", "b", ["vm-3", "vm-2", "vm-1"])
     True
     """
-    return tuple(nlargest(RELAYS, vms, key=lambda vm: (_rank(f"relay/{domain}", vm), vm)))
+    key = f"relay/{domain}/{other}"
+    return tuple(nlargest(RELAYS, vms, key=lambda vm: (_rank(key, vm), vm)))
--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -305,6 +305,7 @@
         by_distance: dict[Distance, list[Peer]] = {}
         for peer in self._peers.values():
             by_distance.setdefault(distance(self._own, peer.identity), []).append(peer)
+        self._far.note_near(len(by_distance.get(Distance.DOMAIN, ())))
         for apart, peers in by_distance.items():
             pace = report_pace(apart, len(peers))
             for peer in peers:
--- a/packages/core/src/carawayquay/far_domains.py
+++ b/packages/core/src/carawayquay/far_domains.py
@@ -114,6 +114,7 @@
 
     def __init__(self, own: VMIdentity) -> None:
         self._own = own
+        self._near = 0
         self._domains: dict[str, FarDomain] = {}
 
     def __iter__(self) -> Iterator[FarDomain]:
@@ -157,7 +158,7 @@
         """
         live = {member.name: member for member in domain.live_members(now)}
         if live:
-            found = relays(domain.name, live)
+            found = relays(domain.name, self._own.domain, live)
             return [live[found[min(rank, len(found) - 1)]].host]
         known = sorted(member.host for member in domain.members())
         return [known[(turn + rank) % len(known)]] if known else []
@@ -171,6 +172,12 @@
             self._update_paces()
         return found
 
+    def note_near(self, vms: int) -> None:
+        """Take how many other VMs of the own domain are told what this one hears."""
+        if vms != self._near:
+            self._near = vms
+            self._update_paces()
+
     def _update_paces(self) -> None:
         """Let each domain be heard as often as the number of domains allows."""
         apart = {name: self._distance(domain) for name, domain in self._domains.items()}
@@ -178,7 +185,7 @@
         for value in apart.values():
             counts[value] = counts.get(value, 0) + 1
         for name, domain in self._domains.items():
-            domain.pace = summary_pace(apart[name], counts)
+            domain.pace = summary_pace(apart[name], counts, self._near)
 
     def _distance(self, domain: FarDomain) -> Distance:
         own = self._own
--- a/packages/core/src/carawayquay/report_pace.py
+++ b/packages/core/src/carawayquay/report_pace.py
@@ -21,6 +21,9 @@
 #: Summaries/s that a VM takes from all domains of one distance at the most.
 _MAX_SUMMARIES_PER_SECOND = 3.5
 
+#: Copies/s of one domain's summary that a relay passes on to the VMs of its own domain at the most.
+_MAX_COPIES_PER_SECOND = 16.0
+
 #: Reports never come less often, so that a VM that is gone is known to be before long.
 _MAX_INTERVAL = timedelta(seconds=2.4)
 
@@ -79,17 +82,22 @@
     return ReportPace(interval, max(usual.silence, _SILENT_INTERVALS * interval))
 
 
-def summary_pace(distance: Distance, domains: Mapping[Distance, int]) -> ReportPace:
+def summary_pace(distance: Distance, domains: Mapping[Distance, int], near: int) -> ReportPace:
     """Return the pace of summaries between failure domains at a distance.
 
     :param domains: the number of other domains at each distance
+    :param near: the number of other VMs of the domain to which a summary is passed on
 
-    >>> summary_pace(Distance.FAR, {Distance.REGION: 1, Distance.FAR: 4}).interval
+    >>> summary_pace(Distance.FAR, {Distance.REGION: 1, Distance.FAR: 4}, 3).interval
     datetime.timedelta(seconds=1, microseconds=200000)
-    >>> summary_pace(Distance.FAR, {Distance.REGION: 2, Distance.FAR: 6}).interval
+    >>> summary_pace(Distance.FAR, {Distance.REGION: 2, Distance.FAR: 6}, 21).interval
     datetime.timedelta(seconds=1, microseconds=714286)
+    >>> summary_pace(Distance.REGION, {Distance.REGION: 2, Distance.FAR: 6}, 21).interval
+    datetime.timedelta(seconds=1, microseconds=312500)
     """
     usual = _PACES[distance]
-    wanted = timedelta(seconds=domains.get(distance, 0) / _MAX_SUMMARIES_PER_SECOND)
-    interval = max(usual.interval, wanted)
+    wanted = max(
+        domains.get(distance, 0) / _MAX_SUMMARIES_PER_SECOND, near / _MAX_COPIES_PER_SECOND
+    )
+    interval = max(usual.interval, timedelta(seconds=wanted))
     return ReportPace(interval, max(usual.silence, _SILENT_INTERVALS * interval))
--- a/packages/core/tests/test_far_domains.py
+++ b/packages/core/tests/test_far_domains.py
@@ -99,7 +99,7 @@
     peers = EntryPeers(OWN)
     peers.receive_summary(_summary(members=5), NOW)
     domain = peers.far.get("c")
-    first = relays("c", [f"c-{number}" for number in range(1, 6)])[rank]
+    first = relays("c", "a", [f"c-{number}" for number in range(1, 6)])[rank]
     hosts = peers.far.receivers(domain, rank, 0, NOW)
     assert hosts == [_vm("c", int(first[2:])).host]
     silent = NOW + timedelta(minutes=60)
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -44,8 +44,6 @@
 
 _log = EventLog("app")
 
-_SHARES_SECONDS = 0.2
-_FLUSH_SECONDS = 0.2
 _STOP_POLL_SECONDS = 0.05
 
 #: Part of the process's memory that the bodies of callers' requests may take together.
@@ -166,12 +164,12 @@
                         connections=self._connections,
                     )
                 )
-            await curio.sleep(_SHARES_SECONDS)
+            await self._state.turns.next()
 
     async def _flush(self) -> None:
         while True:
             self._output.flush()
-            await curio.sleep(_FLUSH_SECONDS)
+            await self._state.turns.next()
 
     async def _stop_when_asked(self, signal: StopSignal) -> None:
         await signal.wait()
--- a/packages/gateway/src/carawayquay_gateway/datagrams.py
+++ b/packages/gateway/src/carawayquay_gateway/datagrams.py
@@ -21,7 +21,7 @@
 __all__ = ["DatagramSocket"]
 
 #: Time in which datagrams gather before they are taken together, and their number at the most.
-_GATHER_SECONDS = 0.04
+_GATHER_SECONDS = 0.1
 _MAX_TOGETHER = 100
 
 
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -26,8 +26,7 @@
 
 _log = EventLog("peers")
 
-#: Time between two looks at who is due a report, and the earliness that is allowed.
-_TURN_SECONDS = 0.2
+#: The earliness with which a report may be sent.
 _EARLY = timedelta(milliseconds=50)
 
 #: Reports name other VMs once in so many turns, a number without a divisor in common with the turns
@@ -149,7 +148,7 @@
             self._ask_seeds(now)
             self._send_to(self._take_new_hosts(), _MEMBERS_AT_START)
             self._send_to(self._take_due_hosts(), self._members_now())
-            await curio.sleep(_TURN_SECONDS)
+            await self._state.turns.next()
             self._turn += 1
 
     def _ask_seeds(self, now: timedelta) -> None:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 from carawayquay.cold_rates import ColdRates, ColdRights
@@ -15,6 +16,7 @@
 from carawayquay.warm_objects import WarmObjects
 from carawayquay_gateway.adoption import Adoption
 from carawayquay_gateway.service_state import ServiceState
+from carawayquay_gateway.turns import Turns
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_wire.events import Event, EventLog
 
@@ -36,8 +38,8 @@
 #: Share of a region's requests below which their number at its targets tells nothing.
 _LEAST_SHARE = 0.2
 
-#: How long the sums of other VMs' rates stand, which are themselves those of some seconds.
-_RATES_LIFE = timedelta(milliseconds=600)
+#: Time between two moves of the shares, less a part of a turn.
+_SHARES_INTERVAL = timedelta(milliseconds=550)
 
 #: Time between two looks for what is left of targets that are gone.
 _PRUNE_INTERVAL = timedelta(seconds=10)
@@ -67,6 +69,7 @@
         self.metrics = metrics
         self.identity = identity
         self.stopping = False
+        self.turns = Turns(Random(identity.incarnation ^ short_hash(identity.name)))
         self.answered: dict[ObjectKind, bool] = {}
         self.configuration: Configuration | None = None
         #: What was not understood of the configuration in force, and how often it was met.
@@ -83,7 +86,7 @@
         self._names: dict[int, str] = {}
         self._names_of = -1
         self._rates = RegionRates()
-        self._rates_until = timedelta()
+        self._shares_at = timedelta()
         self._prune_at = timedelta()
         self._updated_at: timedelta | None = None
         self._started_at = clock.now()
@@ -182,11 +185,10 @@
 
     def _update_shares(self, now: timedelta) -> None:
         """Move the shares of requests that stay in their region."""
-        if self.configuration is None:
+        if self.configuration is None or now < self._shares_at:
             return
-        if now >= self._rates_until:
-            self._rates = self.peers.rates(now)
-            self._rates_until = now + _RATES_LIFE
+        self._shares_at = now + _SHARES_INTERVAL
+        self._rates = self.peers.rates(now)
         for name in self.configuration.service_names:
             service = self.service(name)
             service.kept.update(self._region_load(name, service, now), now)
--- a/packages/gateway/src/carawayquay_gateway/summaries.py
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -17,7 +17,6 @@
 
 if TYPE_CHECKING:
     from carawayquay.crash_counts import CrashCounts
-    from carawayquay.far_domains import FarDomain
     from carawayquay.load_reports import VMIdentity, WarmObject
     from carawayquay_gateway.state import GatewayState
 
@@ -25,8 +24,7 @@
 
 _log = EventLog("summaries")
 
-#: Time between two looks at which domain is due a summary, and the earliness that is allowed.
-_TURN_SECONDS = 0.2
+#: The earliness with which a summary may be sent.
 _EARLY = timedelta(milliseconds=50)
 
 #: How long news of warm objects are told to other domains, so that most are told twice.
@@ -43,9 +41,9 @@
 class SummaryExchange:
     """Speaks for this VM's domain where it is a relay, and takes what other domains say.
 
-    The relays of two domains send to each other, the first to the first and the second to the
-    second. The first relay passes on what it hears to all VMs of its own domain. The second does so
-    for a domain of which the first has passed on nothing for a while.
+    Towards each other domain there are two relays. Those of two domains send to each other, the
+    first to the first and the second to the second. The first passes on what it hears to all VMs of
+    its own domain. The second does so while the first has passed on nothing for some time.
     """
 
     def __init__(self, state: GatewayState, crashes: CrashCounts, warm: WarmNews) -> None:
@@ -55,18 +53,18 @@
         self._news = WarmNews(_NEWS_LIFE)
         self._sequence = 0
         self._turn = 0
-        self._due: dict[str, timedelta] = {}
+        self._due: dict[timedelta, timedelta] = {}
         self._passed_on: dict[str, timedelta] = {}
-        self._relays: tuple[str, ...] = ()
+        self._relays: dict[str, tuple[str, ...]] = {}
+        self._first: dict[str, str] = {}
         self._roster: frozenset[VMIdentity] = frozenset()
         self._roster_at = timedelta()
         self._live: set[str] = set()
         self._sock: DatagramSocket | None = None
 
-    @property
-    def relays(self) -> tuple[str, ...]:
-        """The relays of the own domain, as this VM sees them."""
-        return self._relays
+    def relays(self, domain: str) -> tuple[str, ...]:
+        """Return the own domain's relays towards another one, as this VM sees them."""
+        return self._relays.get(domain, ())
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
@@ -82,35 +80,44 @@
     async def _send(self) -> None:
         while True:
             now = self._state.clock.now()
-            self._update_relays(now)
+            self._update_roster(now)
+            self._update_relays()
             self._note_domains(now)
-            rank = self._rank()
-            if rank is not None:
-                self._send_due(rank, now)
-            await curio.sleep(_TURN_SECONDS)
+            self._send_due(now)
+            await self._state.turns.next()
             self._turn += 1
 
-    def _rank(self) -> int | None:
-        """Return this VM's rank among the relays, or None if it is none of them."""
-        name = self._state.identity.name
-        return self._relays.index(name) if name in self._relays else None
+    def _rank(self, domain: str) -> int | None:
+        """Return this VM's rank among the relays towards a domain, or None if it is none."""
+        name, found = self._state.identity.name, self.relays(domain)
+        return found.index(name) if name in found else None
 
-    def _update_relays(self, now: timedelta) -> None:
+    def _update_roster(self, now: timedelta) -> None:
+        """Note who of the own domain is live."""
         state = self._state
-        members = [
+        members = {
             peer.identity
             for peer in state.peers.near
             if peer.live(now) and peer.report is not None and not peer.report.leaving
-        ]
+        }
         if not state.stopping:
-            members.append(state.identity)
-        roster = frozenset(members)
-        if roster != self._roster:
-            self._roster, self._roster_at = roster, now
-        found = relays(state.identity.domain, [member.name for member in members])
-        if found != self._relays:
-            _log.info(Event.RELAYS_CHANGED, relays=",".join(found), members=len(members))
-            self._relays = found
+            members.add(state.identity)
+        if members != self._roster:
+            self._roster, self._roster_at = frozenset(members), now
+            self._relays.clear()
+
+    def _update_relays(self) -> None:
+        """Note who speaks to whom, where the own domain or the domains that are known changed."""
+        own = self._state.identity
+        names = [member.name for member in self._roster]
+        for domain in self._state.peers.far:
+            if domain.name in self._relays:
+                continue
+            found = self._relays[domain.name] = relays(own.domain, domain.name, names)
+            if found[:1] != (self._first.get(domain.name),) and found:
+                self._first[domain.name] = found[0]
+                if own.name in found:
+                    _log.info(Event.RELAYS_CHANGED, towards=domain.name, relays=",".join(found))
 
     def _note_domains(self, now: timedelta) -> None:
         """Log the domains that were found and lost."""
@@ -121,29 +128,34 @@
             _log.warning(Event.DOMAIN_LOST, domain=name)
         self._live = live
 
-    def _send_due(self, rank: int, now: timedelta) -> None:
-        """Send this domain's summary to the domains that are due one."""
-        due = [domain for domain in self._state.peers.far if self._take_due(domain, now)]
+    def _send_due(self, now: timedelta) -> None:
+        """Send this domain's summary to the domains towards which this VM is a relay."""
+        paces = {domain.pace.interval for domain in self._state.peers.far}
+        paces = {interval for interval in paces if self._take_due(interval, now)}
+        due = [
+            (domain, rank)
+            for domain in self._state.peers.far
+            if domain.pace.interval in paces and (rank := self._rank(domain.name)) is not None
+        ]
         if not due:
             return
-        far = self._state.peers.far
         self._sequence += 1
         changed = now - self._roster_at < _NAMED_FOR
         named = changed or self._sequence % _NAMED_EVERY == 0
-        unaware = [domain for domain in due if named or not domain.live(now)]
-        aware = [domain for domain in due if domain not in unaware]
-        for domains, with_members in ((unaware, True), (aware, False)):
-            if domains:
-                data = encode_summary(self._summary(now, with_members))
-                for domain in domains:
-                    self._sock.send(data, far.receivers(domain, rank, self._turn, now))
-
-    def _take_due(self, domain: FarDomain, now: timedelta) -> bool:
-        """Return whether a domain is due a summary, and when it will be due the next one."""
-        at = self._due.get(domain.name, now)
+        encoded: dict[bool, bytes] = {}
+        for domain, rank in due:
+            with_members = named or not domain.live(now)
+            if with_members not in encoded:
+                encoded[with_members] = encode_summary(self._summary(now, with_members))
+            hosts = self._state.peers.far.receivers(domain, rank, self._turn, now)
+            self._sock.send(encoded[with_members], hosts)
+
+    def _take_due(self, interval: timedelta, now: timedelta) -> bool:
+        """Return whether domains with a pace are due, and note when they will be again."""
+        at = self._due.get(interval, now)
         if at - _EARLY > now:
             return False
-        self._due[domain.name] = max(at + domain.pace.interval, now)
+        self._due[interval] = max(at + interval, now)
         return True
 
     def _summary(self, now: timedelta, with_members: bool) -> DomainSummary:
@@ -180,7 +192,7 @@
         now = state.clock.now()
         near = {peer.identity.host: peer.identity.name for peer in state.peers.near}
         news = state.peers.receive_summary(summary, now)
-        if near.get(host) == next(iter(self._relays), None):
+        if near.get(host) in self.relays(summary.sender.domain)[:1]:
             self._passed_on[summary.sender.domain] = now
         if not news:
             return
@@ -192,11 +204,11 @@
         self, data: bytes, domain: str, host: str, near: dict[str, str], now: timedelta
     ) -> None:
         """Pass news of another domain on to those of the own one who may not have it."""
-        rank = self._rank()
+        rank = self._rank(domain)
         if rank == 0 or (rank is not None and host not in near and self._missed(domain, now)):
             receivers = near.keys() - {host}
         elif rank is None and host not in near:
-            receivers = {at for at, name in near.items() if name in self._relays}
+            receivers = {at for at, name in near.items() if name in self.relays(domain)}
         else:
             return
         self._sock.send(data, receivers)
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -47,9 +47,6 @@
 _OTHERS_LIST_AFTER = timedelta(seconds=3)
 _NEIGHBOUR_SECONDS = 0.2
 
-#: How often it is looked whether another VM has seen a change that this one has not.
-_COMPARE_SECONDS = 0.25
-
 #: Time in which a change should have come by the watch, after another VM was seen to have it.
 _LAG_SECONDS = 0.5
 
@@ -118,7 +115,7 @@
         """Take changes from VMs that watch the store, for a short while."""
         self._state.answered.pop(self._replica.kind, None)
         await self._ask_peer()
-        await curio.sleep(_COMPARE_SECONDS)
+        await self._state.turns.next()
 
     async def _follow_store(self) -> None:
         """Make one call of the store.
@@ -172,7 +169,7 @@
     async def _wait_behind(self) -> None:
         """Return once another VM has had a later change for a while, or this VM was paused."""
         while self._state.wakes == self._wakes:
-            await curio.sleep(_COMPARE_SECONDS)
+            await self._state.turns.next()
             newest = self._newest_at_peers()
             if newest is not None and self._missed(newest):
                 await curio.sleep(_LAG_SECONDS)
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -117,15 +117,25 @@
     run(check)
 
 
-def _relay(vms, domain, rank):
-    mates = [vm for vm in vms if vm.state.identity.domain == domain]
-    name = mates[0].summaries.relays[rank]
-    return next(vm for vm in mates if vm.state.identity.name == name)
+def _relays(vms, domain, other):
+    """Return the relays of a domain towards another one, as one of its VMs sees them."""
+    mates = {vm.state.identity.name: vm for vm in vms if vm.state.identity.domain == domain}
+    return [mates[name] for name in next(iter(mates.values())).summaries.relays(other)]
 
 
 async def _agreed(vms):
     """Wait until the VMs of each domain agree about their relays."""
-    await _until(lambda: len({vm.summaries.relays for vm in vms}) == len(_DOMAINS))
+
+    def agree():
+        seen = {
+            (vm.state.identity.domain, other, vm.summaries.relays(other))
+            for vm in vms
+            for other in _DOMAINS
+            if other != vm.state.identity.domain
+        }
+        return len(seen) == 6 and all(len(found) == 2 for *_, found in seen)
+
+    await _until(agree)
 
 
 def test_only_relays_send_to_other_domains():
@@ -139,7 +149,11 @@
         for vm, count in zip(vms, before, strict=True):
             counters = vm.state.metrics.dump()["counters"]
             grown = counters.get('datagrams_sent_total{kind="summary"}', 0) - count
-            assert (grown > 0) == (vm.state.identity.name in vm.summaries.relays)
+            domain = vm.state.identity.domain
+            relaying = any(
+                vm in _relays(vms, domain, other) for other in _DOMAINS if other != domain
+            )
+            assert (grown > 0) == relaying
 
     run(check)
 
@@ -149,7 +163,7 @@
     async def check():
         vms = await _started(12)
         await _agreed(vms)
-        first = _relay(vms, "puget-b", 0)
+        first = _relays(vms, "puget-b", "inland-a")[0]
         if fault == "lost":
             for task in first.tasks:
                 await task.cancel()
@@ -169,11 +183,11 @@
         vms = await _started(12)
         await _agreed(vms)
         mates = [vm for vm in vms if vm.state.identity.domain == "puget-b"]
-        other = next(vm for vm in mates if vm.state.identity.name not in vm.summaries.relays)
-        far = identity("graz-1", "127.0.8.99", "graz-a", "graz")
+        far = identity("inland-a-99", "127.0.8.99", "inland-a", "inland")
+        other = next(vm for vm in mates if vm not in _relays(vms, "puget-b", "inland-a"))
         data = encode_summary(DomainSummary(far, 1, (), 1, (far,)))
         other.summaries._take_datagram(data, far.host)
-        await _until(lambda: all("graz-1" in _live_names(vm) for vm in mates))
+        await _until(lambda: all("inland-a-99" in _live_names(vm) for vm in mates))
 
     run(check)
 
