Bound the memory of answers, and end what sends interim answers without end

A target that sends interim answers without end was listened to until the request's time ran out.

Change: the answers that come share a fifth of the process's memory, one takes at most 0.15 of it; what waits for memory leaves the rest in the socket. While an answer is sent it counts among the bodies that callers' connections share, in place of its request. Large bodies are no longer copied. Nine interim answers end a connection.

Tests: ten kinds of bytes without end each end the connection at a bound (interim answers failed before: they ended with the time), and bytes that come slowly end with the time; answers that come together share the memory.

--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -10,6 +10,7 @@
 import curio
 
 from carawayquay_platform import headers
+from carawayquay_wire.body_budget import BodyBudget
 from carawayquay_wire.dialing import dial
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http_client import HttpClient, HttpError
@@ -42,7 +43,10 @@
 #: Time for a new connection, several round trips between regions; after it another target is tried.
 _DIAL_SECONDS = 0.3
 
-_MAX_ANSWER_BYTES = 64 * 1024 * 1024
+#: Parts of the process's memory that all answers may take while they come, and one of them.
+_ANSWERS_PART = 0.2
+_ANSWER_PART = 0.15
+_BYTES_IN_MB = 1_000_000
 
 
 @attrs.frozen
@@ -80,7 +84,16 @@
         self._crashes = crashes
         self._round_trips = round_trips
         self._domains: dict[Address, str] = {}
-        self._http = HttpClient(_MAX_ANSWER_BYTES, state.clock, self._note_dialled, _DIAL_SECONDS)
+        memory = state.settings.memory_mb * _BYTES_IN_MB
+        self._answers = BodyBudget(int(memory * _ANSWERS_PART))
+        self._http = HttpClient(
+            int(memory * _ANSWER_PART),
+            state.clock,
+            self._note_dialled,
+            _DIAL_SECONDS,
+            self._answers,
+        )
+        state.metrics.gauge("answer_bytes", lambda: float(self._answers.used))
 
     async def call(
         self, target: RegisteredTarget, request: HttpRequest, left: timedelta, fingerprint: int
--- a/packages/wire/src/carawayquay_wire/body_budget.py
+++ b/packages/wire/src/carawayquay_wire/body_budget.py
@@ -4,11 +4,26 @@
 
 import curio
 
-__all__ = ["SMALL_BODY_BYTES", "BodyBudget", "Reservation"]
+__all__ = ["SMALL_BODY_BYTES", "BodyBudget", "Reservation", "unknown_length"]
 
 #: Bodies up to this size are not counted.
 SMALL_BODY_BYTES = 64 * 1024
 
+#: Memory that is reserved for a body of unknown length, before it turns out to be larger.
+_FIRST_BYTES = 1024 * 1024
+
+
+def unknown_length(size: int, largest: int) -> int:
+    """Return the memory to reserve for a body of unknown length that has a size so far.
+
+    Two steps, so that bodies which grow side by side seldom wait for each other.
+
+    :param largest: the size of the largest body that is taken
+    """
+    if size <= SMALL_BODY_BYTES:
+        return 0
+    return _FIRST_BYTES if size <= _FIRST_BYTES else largest
+
 
 class BodyBudget:
     """Hands out memory for bodies; who gets none waits, and so does the sender of the body.
--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -69,7 +69,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
     def header(self, name: bytes) -> str | None:
         """Return the first header of a lower-case name, or None."""
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -15,6 +15,7 @@
 
 from carawayquay.clock import MonotonicClock
 from carawayquay.errors import CarawayquayError
+from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget, unknown_length
 from carawayquay_wire.dialing import dial
 from carawayquay_wire.http import HttpRequest, HttpResponse
 
@@ -23,6 +24,7 @@
 
     from carawayquay.clock import Clock
     from carawayquay.membership import Address
+    from carawayquay_wire.body_budget import Reservation
 
     Belongs = Callable[[HttpRequest, HttpResponse], bool]
 
@@ -41,6 +43,9 @@
 _PROBES = 2
 _UNACKNOWLEDGED_MILLISECONDS = 2000
 
+#: Interim answers that one exchange passes over, as a server may send them without end.
+_MAX_INTERIM_ANSWERS = 8
+
 #: Answers to other requests that one exchange passes over before it gives the connection up.
 _MAX_FOREIGN_ANSWERS = 4
 
@@ -71,12 +76,16 @@
 class HttpConnection:
     """One connection to a server; after a failure it is never used again."""
 
-    def __init__(self, sock: Any, address: Address, max_body_bytes: int) -> None:
+    def __init__(
+        self, sock: Any, address: Address, max_body_bytes: int, bodies: BodyBudget | None = None
+    ) -> None:
         self._sock = sock
         self._address = address
         self._max_body_bytes = max_body_bytes
+        self._bodies = bodies or BodyBudget(max_body_bytes)
         self._h11 = h11.Connection(h11.CLIENT)
         self._exchanges = 0
+        self._bodiless = False
         self._reusable = True
         self.idle_since = timedelta()
 
@@ -103,6 +112,7 @@
         :raises HttpError: if the connection fails before the answer is whole
         """
         fresh = self._exchanges == 0
+        self._bodiless = request.method == "HEAD"
         self._exchanges += 1
         self._reusable = False
         try:
@@ -164,32 +174,66 @@
             self._h11.receive_data(received)
 
     async def _receive(self) -> HttpResponse:
-        head = None
-        parts = []
-        size = 0
+        """Return a whole answer.
+
+        :raises OSError: if the connection ends before, or the answer breaks a bound
+        :raises HttpError: if its body is too large
+        """
+        reserved = self._bodies.reservation()
+        try:
+            return await self._receive_reserved(reserved)
+        finally:
+            await reserved.release()
+
+    async def _receive_reserved(self, reserved: Reservation) -> HttpResponse:
+        head = await self._receive_head()
+        length = 0 if self._bodiless else _stated_length(head)
+        if length is not None and length > self._max_body_bytes:
+            raise self._too_large()
+        await reserved.grow(length or 0)
+        body = bytearray()
         while True:
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                self._h11.receive_data(await self._sock.recv(_READ_BYTES))
-            elif isinstance(event, h11.Response):
-                head = event
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self._max_body_bytes:
-                    raise HttpError(
-                        f"{self._address}: answer exceeds {self._max_body_bytes} bytes", sent=True
-                    )
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return HttpResponse(head.status_code, tuple(head.headers), b"".join(parts))
-            elif isinstance(event, h11.ConnectionClosed):
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                small = len(body) <= SMALL_BODY_BYTES
+                return HttpResponse(
+                    head.status_code, tuple(head.headers), bytes(body) if small else body
+                )
+            if not isinstance(event, h11.Data):
+                raise OSError("connection closed within the answer")
+            size = len(body) + len(event.data)
+            if size > self._max_body_bytes:
+                raise self._too_large()
+            if length is None:
+                await reserved.grow(unknown_length(size, self._max_body_bytes))
+            body += event.data
+
+    async def _receive_head(self) -> h11.Response:
+        for _ in range(_MAX_INTERIM_ANSWERS + 1):
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
                 raise OSError("connection closed before the answer")
+        raise OSError(f"more than {_MAX_INTERIM_ANSWERS} interim answers")
+
+    async def _next_event(self) -> Any:
+        event = self._h11.next_event()
+        while event is h11.NEED_DATA:
+            self._h11.receive_data(await self._sock.recv(_READ_BYTES))
+            event = self._h11.next_event()
+        return event
+
+    def _too_large(self) -> HttpError:
+        reason = f"{self._address}: answer exceeds {self._max_body_bytes} bytes"
+        return HttpError(reason, sent=True, fresh=self.fresh)
 
 
 class HttpClient:
     """Connections to many servers, kept open between exchanges.
 
     :param max_body_bytes: the largest answer that is taken
+    :param bodies: the memory that the answers of all connections share while they come
     :param clock: by which idle connections age
     :param dialled: told of each new connection and the seconds that it took
     :param dial_seconds: how long a new connection may take
@@ -201,8 +245,10 @@
         clock: Clock | None = None,
         dialled: Callable[[Address, float], None] | None = None,
         dial_seconds: float = _DIAL_SECONDS,
+        bodies: BodyBudget | None = None,
     ) -> None:
         self._max_body_bytes = max_body_bytes
+        self._bodies = bodies or BodyBudget(max_body_bytes)
         self._clock = clock or MonotonicClock()
         self._dialled = dialled
         self._dial_seconds = dial_seconds
@@ -288,7 +334,7 @@
         _probe_when_silent(sock)
         if self._dialled is not None:
             self._dialled(address, time.monotonic() - started)
-        return HttpConnection(sock, address, self._max_body_bytes)
+        return HttpConnection(sock, address, self._max_body_bytes, self._bodies)
 
     async def _release(self, address: Address, connection: HttpConnection) -> None:
         connection.idle_since = self._clock.now()
@@ -299,6 +345,14 @@
             await connection.close()
 
 
+def _stated_length(head: h11.Response) -> int | None:
+    """Return the length of an answer's body that its head states, None if it states none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return None
+
+
 def _probe_when_silent(sock: Any) -> None:
     """Let the kernel end a connection whose other end has gone silent."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -11,7 +11,7 @@
 import curio
 import h11
 
-from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget
+from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget, unknown_length
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse
 
@@ -39,8 +39,6 @@
 #: Memory for the bodies of all connections of a server that was given none.
 _BODIES_BYTES = 64 * 1024 * 1024
 
-#: Memory that is reserved for a body of unknown length, before it turns out to be larger.
-_FIRST_BYTES = 1024 * 1024
 _BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -174,7 +172,12 @@
             answer = await self._run(sock, connection, answer)
         if answer is None:
             return False
-        if not await self._write(sock, connection, answer, request.method):
+        method = request.method
+        # The request is not needed any more, and its memory may serve for the answer.
+        del request
+        await reserved.release()
+        await reserved.grow(len(answer.body))
+        if not await self._write(sock, connection, answer, method):
             return False
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
@@ -264,7 +267,7 @@
                             limit = self._limits.body_bytes
                             raise _RejectedError(413, f"body exceeds {limit} bytes")
                         if size > length:
-                            await reserved.grow(self._reserved_bytes(size))
+                            await reserved.grow(unknown_length(size, self._limits.body_bytes))
                         body += event.data
                     else:
                         raise _RejectedError(400, "body ended early")
@@ -273,15 +276,6 @@
             raise _RejectedError(408, "body came too slowly") from None
         return bytes(body) if len(body) <= SMALL_BODY_BYTES else body
 
-    def _reserved_bytes(self, size: int) -> int:
-        """Return the memory to reserve for a body of unknown length that has a size so far.
-
-        Two steps, so that bodies which grow side by side seldom wait for each other.
-        """
-        if size <= SMALL_BODY_BYTES:
-            return 0
-        return _FIRST_BYTES if size <= _FIRST_BYTES else self._limits.body_bytes
-
     async def _run(self, sock: Any, connection: h11.Connection, work: Any) -> HttpResponse | None:
         """Await the answer; cancel the work and return None if the caller closes first."""
         async with curio.TaskGroup(wait=any) as group:
@@ -297,7 +291,22 @@
         """Send an answer and return whether its reader took it in time."""
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return False
-        return await self._send(sock, self._encode(connection, answer, method, self._closing))
+        if len(answer.body) <= SMALL_BODY_BYTES or method == "HEAD":
+            return await self._send(sock, self._encode(connection, answer, method, self._closing))
+        return await self._write_large(sock, connection, answer)
+
+    async def _write_large(
+        self, sock: Any, connection: h11.Connection, answer: HttpResponse
+    ) -> bool:
+        """Send an answer whose body is not copied, and return whether its reader took it."""
+        head = self._encode_head(connection, answer, "", self._closing)
+        if not await self._send(sock, head):
+            return False
+        connection.send_with_data_passthrough(h11.Data(data=answer.body))
+        if not await self._send(sock, answer.body):
+            return False
+        connection.send(h11.EndOfMessage())
+        return True
 
     async def _write_rejection(
         self, sock: Any, connection: h11.Connection, rejection: _RejectedError
@@ -324,18 +333,21 @@
         self, connection: h11.Connection, answer: HttpResponse, method: str, close: bool
     ) -> bytes:
         """Return the bytes of an answer to a request of a method."""
+        data = self._encode_head(connection, answer, method, close)
+        if answer.body and method != "HEAD" and answer.status not in _BODILESS_STATUSES:
+            data += connection.send(h11.Data(data=answer.body))
+        return data + connection.send(h11.EndOfMessage())
+
+    def _encode_head(
+        self, connection: h11.Connection, answer: HttpResponse, method: str, close: bool
+    ) -> bytes:
         headers = list(answer.headers)
-        body = answer.body
-        if answer.status in _BODILESS_STATUSES:
-            body = b""
-        elif method != "HEAD" or answer.header(b"content-length") is None:
-            headers.append((b"content-length", b"%d" % len(body)))
+        stated = method == "HEAD" and answer.header(b"content-length") is not None
+        if answer.status not in _BODILESS_STATUSES and not stated:
+            headers.append((b"content-length", b"%d" % len(answer.body)))
         if close:
             headers.append((b"connection", b"close"))
-        data = connection.send(h11.Response(status_code=answer.status, headers=headers))
-        if body and method != "HEAD":
-            data += connection.send(h11.Data(data=body))
-        return data + connection.send(h11.EndOfMessage())
+        return connection.send(h11.Response(status_code=answer.status, headers=headers))
 
 
 def _new_connection(limits: HttpLimits) -> h11.Connection:
--- /dev/null
+++ b/packages/wire/tests/test_endless_answers.py
@@ -0,0 +1,130 @@
+"""Answers that never end are given up at a bound, of bytes or of time."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+from curio.network import run_server, tcp_server_socket
+
+from carawayquay.membership import Address
+from carawayquay_wire.body_budget import BodyBudget
+from carawayquay_wire.http import HttpRequest
+from carawayquay_wire.http_client import HttpClient, HttpError
+
+REQUEST = HttpRequest("GET", "/stones", ((b"host", b"stones.example"),), b"")
+BOUND = 200_000
+
+#: Bytes that may lie in the sockets of both ends when the connection ends.
+SOCKET_BYTES = 16_000_000
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+CHUNK = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+
+
+class Endless:
+    """Sends a beginning, then the same bytes again and again until the caller closes."""
+
+    def __init__(self, first, again):
+        self._first = first
+        self._again = again
+        self.sent = 0
+        self.closed = curio.Event()
+
+    async def serve(self, sock, _):
+        await sock.recv(65536)
+        try:
+            await sock.sendall(self._first)
+            while True:
+                await sock.sendall(self._again)
+                self.sent += len(self._again)
+        except OSError:
+            await self.closed.set()
+
+
+async def _exchanged(server, seconds=5.0, **options):
+    sock = tcp_server_socket("127.0.0.1", 0)
+    await curio.spawn(run_server, sock, server.serve, daemon=True)
+    client = HttpClient(BOUND, **options)
+    with pytest.raises(HttpError) as caught:
+        await client.exchange(Address(*sock.getsockname()), REQUEST, seconds)
+    await curio.timeout_after(2, server.closed.wait)
+    return caught.value
+
+
+@pytest.mark.parametrize(
+    ("first", "again"),
+    [
+        (b"", b"\0" * 4096),
+        (b"", b"no answer at all "),
+        (HEAD, b"x-more: and more\r\n"),
+        (HEAD + b"x-long: ", b"x" * 4096),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (CHUNKED, CHUNK),
+        (CHUNKED + b"1000; ", b"x" * 4096),
+        (HEAD + b"\r\n", b"x" * 4096),
+        (HEAD + b"content-length: 999999999999\r\n\r\n", b"x" * 4096),
+        (CHUNKED + b"0\r\n", b"x-more: and more\r\n"),
+    ],
+    ids=[
+        "zeros",
+        "words",
+        "headers",
+        "one header",
+        "interim answers",
+        "chunks",
+        "one chunk's head",
+        "body without a length",
+        "length beyond the bound",
+        "trailers",
+    ],
+)
+def test_bytes_without_end_end_the_connection_at_a_bound(first, again):
+    server = Endless(first, again)
+    failure = curio.run(_exchanged, server)
+    assert failure.sent
+    assert not failure.timed_out
+    assert server.sent < SOCKET_BYTES
+
+
+def test_bytes_that_come_slowly_without_end_end_with_the_time():
+    class Slow(Endless):
+        async def serve(self, sock, address):
+            await sock.recv(65536)
+            try:
+                while True:
+                    await sock.sendall(b"x")
+                    await curio.sleep(0.05)
+            except OSError:
+                await self.closed.set()
+
+    failure = curio.run(_exchanged, Slow(b"", b""), 0.4)
+    assert failure.timed_out
+
+
+def test_answers_that_come_together_share_the_memory():
+    async def check():
+        budget = BodyBudget(300_000)
+        most = 0
+        body = b"x" * 190_000
+        answer = HEAD + b"content-length: 190000\r\n\r\n" + body
+
+        async def serve(sock, _):
+            await sock.recv(65536)
+            await sock.sendall(answer[:1000])
+            await curio.sleep(0.1)
+            await sock.sendall(answer[1000:])
+
+        sock = tcp_server_socket("127.0.0.1", 0)
+        await curio.spawn(run_server, sock, serve, daemon=True)
+        client = HttpClient(BOUND, bodies=budget)
+        address = Address(*sock.getsockname())
+        tasks = [await curio.spawn(client.exchange, address, REQUEST, 5.0) for _ in range(4)]
+        while not all(task.terminated for task in tasks):
+            most = max(most, budget.used)
+            await curio.sleep(0.01)
+        assert [len((await task.join()).body) for task in tasks] == [190_000] * 4
+        assert 0 < most <= 300_000
+        assert budget.used == 0
+
+    curio.run(check)
