Answer requests that have come when a planned stop closes connections

Could happen here, as operators of similar systems told: at the end of a planned stop, connections that their callers had opened and used, but that had not been accepted yet, were reset with the listener; and a connection that rested was shut though a request lay in it, which was then read, sent to a target, and could not be answered.

Change: a closing listener accepts what waits, and draining leaves connections on which something has come; each gets its answer, with connection: close.

--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import inspect
+import select
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -100,11 +101,15 @@
         self._closing = True
 
     async def drain(self) -> None:
-        """Close idle connections now, and every other one after its present answer."""
+        """Close idle connections now, and every other one after its present answer.
+
+        A connection on which a request has come that is not read yet is not idle.
+        """
         self._closing = True
         self._draining = True
         for sock in list(self._idle):
-            await _shut(sock)
+            if not _has_come(sock):
+                await _shut(sock)
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
@@ -214,7 +219,7 @@
 
     async def _wait_first(self, sock: Any, connection: h11.Connection) -> bool:
         """Wait for the first bytes of a request and return whether any came."""
-        if self._draining:
+        if self._draining and not _has_come(sock):
             return False
         self._idle.add(sock)
         self._deadlines[sock] = time.monotonic() + self._limits.idle_seconds
@@ -378,6 +383,13 @@
                 pass
 
 
+def _has_come(sock: Any) -> bool:
+    """Return whether bytes, or the other end's close, wait to be read."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 async def _shut(sock: Any) -> None:
     with suppress(OSError):
         await sock.shutdown(2)
--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -25,6 +25,9 @@
 _ACCEPT_RETRY_SECONDS = 0.1
 _ENDED_BY_CALLER = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EPERM})
 
+#: Time in which the connections that wait are accepted before a listener closes.
+_LAST_SECONDS = 0.05
+
 
 class Listener:
     """Listens at an address and serves each connection as a task.
@@ -56,6 +59,8 @@
                 await self._accepting.wait()
             finally:
                 await self._accepting.cancel()
+            async with curio.ignore_after(_LAST_SECONDS):
+                await self._accept()
 
     async def run_forever(self) -> None:
         """Accept connections; after :meth:`close`, wait to be cancelled.
@@ -66,9 +71,9 @@
         await curio.Event().wait()
 
     async def close(self) -> None:
-        """Accept no more connections; those that are open go on.
+        """Accept no more connections but those that wait already; those that are open go on.
 
-        The task that accepts is ended before its socket is closed: a descriptor that is closed
+        A connection that its caller holds for open would be reset with what was sent on it. The task that accepts is ended before its socket is closed: a descriptor that is closed
         under a waiting task stays registered with the event loop, which fails at its next use.
         """
         if self._accepting is not None:
--- a/packages/wire/tests/test_http_server.py
+++ b/packages/wire/tests/test_http_server.py
@@ -4,15 +4,17 @@
 
 import json
 import re
+import socket
 
 import attrs
 import curio
 import pytest
-from http_pairs import LIMITS, exchange_bytes
+from http_pairs import LIMITS, echo, exchange_bytes, reject
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from carawayquay_wire.http import HttpResponse
+from carawayquay_wire.http_server import HttpServer
 
 GET = b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
 
@@ -201,3 +203,38 @@
     chunked = exchange_bytes(post(b"Transfer-Encoding: chunked", body=chunks))
     assert plain.partition(b"\r\n\r\n")[2] == chunked.partition(b"\r\n\r\n")[2]
     assert json.loads(plain.partition(b"\r\n\r\n")[2])["body"] == body.decode("latin-1")
+
+
+@pytest.mark.parametrize("used", [False, True])
+def test_request_that_has_come_when_a_server_drains_is_answered(used):
+    async def go():
+        ours, theirs = (curio.io.Socket(sock) for sock in socket.socketpair())
+        server = HttpServer(echo, reject, LIMITS)
+        async with theirs:
+            serving = await curio.spawn(server.serve, theirs, ("192.0.2.1", 1))
+            await curio.sleep(0.02)
+            if used:
+                await ours.sendall(GET)
+                await ours.recv(65536)
+                await curio.sleep(0.02)
+            ours._socket.send(GET)
+            await server.drain()
+            answer = await curio.timeout_after(1, ours.recv, 65536)
+            assert statuses(answer) == [200]
+            assert b"connection: close" in answer.lower()
+            await serving.join()
+
+    curio.run(go)
+
+
+def test_idle_connection_is_closed_at_once_when_a_server_drains():
+    async def go():
+        _ours, theirs = (curio.io.Socket(sock) for sock in socket.socketpair())
+        server = HttpServer(echo, reject, attrs.evolve(LIMITS, idle_seconds=30.0))
+        async with theirs:
+            serving = await curio.spawn(server.serve, theirs, ("192.0.2.1", 1))
+            await curio.sleep(0.02)
+            await server.drain()
+            await curio.timeout_after(1, serving.join)
+
+    curio.run(go)
--- a/packages/wire/tests/test_listener.py
+++ b/packages/wire/tests/test_listener.py
@@ -6,6 +6,7 @@
 
 import curio
 import curio.io
+import pytest
 
 from carawayquay.membership import Address
 from carawayquay_wire.listener import Listener
@@ -45,3 +46,33 @@
             assert await waiting.join() == b"x"
 
     curio.run(go)
+
+
+def test_connections_that_wait_when_a_listener_closes_are_served():
+    async def go():
+        served = []
+
+        async def serve(sock, _):
+            served.append(await sock.recv(9))
+
+        port = _free_port()
+        listener = Listener(Address("127.0.0.1", port), serve)
+        running = await curio.spawn(listener.run)
+        await curio.sleep(0.01)
+        callers = [socket.create_connection(("127.0.0.1", port)) for _ in range(5)]
+        for caller in callers:
+            caller.sendall(b"request")
+        await listener.close()
+        await running.join()
+        await curio.sleep(0.1)
+        assert served == [b"request"] * 5
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", port))
+
+    curio.run(go)
+
+
+def _free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
