Believe a good answer without an id on a fresh connection only

Could happen here: a second copy of an answer that carries no id and comes right behind the next request on the same connection was given to the next caller. Copies with an id, and those that come while the connection rests, were noticed before.

--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -112,6 +112,48 @@
     assert answer.body == b"mine"
 
 
+@pytest.mark.parametrize("request_id", ["a1", None])
+@pytest.mark.parametrize("resting", [False, True])
+def test_second_copy_of_an_answer_is_not_given_to_the_next_caller(request_id, resting):
+    copy = answer_bytes(200, b"first caller's", request_id=request_id)
+
+    async def two_requests():
+        sent_late = [answer_bytes(200, b"first caller's"), copy] if resting else []
+        script = sent_late or [answer_bytes(200, b"first caller's")]
+        mine = answer_bytes(200, b"second caller's", request_id="a2")
+        it = _Copier(script, mine if resting else copy + mine)
+        address = await it.start()
+        forwarder, _ = new_forwarder([("t0", target(address))])
+        first = await forwarder.handle(request())
+        await curio.sleep(0.2)
+        second = await forwarder.handle(request(request_id="a2"))
+        return first.body, second.body
+
+    assert run(two_requests) == (b"first caller's", b"second caller's")
+
+
+class _Copier:
+    """Sends its first answers one after the other to the first request, then another one."""
+
+    def __init__(self, first, second):
+        self._first = first
+        self._second = second
+
+    async def start(self):
+        sock = tcp_server_socket("127.0.0.1", 0)
+        await curio.spawn(curio.network.run_server, sock, self._serve, daemon=True)
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+    async def _serve(self, sock, _):
+        while data := await sock.recv(65536):
+            if b"request-id: a2" in data.lower():
+                await sock.sendall(self._second)
+                continue
+            for part in self._first:
+                await sock.sendall(part)
+                await curio.sleep(0.1)
+
+
 def test_bytes_after_an_answer_close_the_connection():
     async def two_requests():
         it = await ScriptedTarget(answer_bytes() + b"HTTP/1.1 200 OK\r\n", answer_bytes()).start()
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -26,7 +26,7 @@
     from carawayquay.membership import Address
     from carawayquay_wire.body_budget import Reservation
 
-    Belongs = Callable[[HttpRequest, HttpResponse], bool]
+    Belongs = Callable[[HttpRequest, HttpResponse, bool], bool]
 
 __all__ = ["MAX_IDLE", "HttpClient", "HttpConnection", "HttpError"]
 
@@ -108,7 +108,8 @@
     async def exchange(self, request: HttpRequest, belongs: Belongs | None = None) -> HttpResponse:
         """Send a request and return its whole answer.
 
-        :param belongs: whether an answer is to a request; those to others are passed over
+        :param belongs: whether an answer is to a request, on a connection that is fresh or not;
+            those to others are passed over
         :raises HttpError: if the connection fails before the answer is whole
         """
         fresh = self._exchanges == 0
@@ -119,7 +120,7 @@
             await self._send(request)
             response = await self._receive()
             foreign = 0
-            while belongs is not None and not belongs(request, response):
+            while belongs is not None and not belongs(request, response, fresh):
                 foreign += 1
                 if foreign > _MAX_FOREIGN_ANSWERS:
                     raise OSError("answers belong to other requests")
--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -73,7 +73,9 @@
     async def close(self) -> None:
         """Accept no more connections but those that wait already; those that are open go on.
 
-        A connection that its caller holds for open would be reset with what was sent on it. The task that accepts is ended before its socket is closed: a descriptor that is closed
+        A connection that its caller holds for open would be reset, with what was sent on it.
+
+        The task that accepts is ended before its socket is closed: a descriptor that is closed
         under a waiting task stays registered with the event loop, which fails at its next use.
         """
         if self._accepting is not None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -72,9 +72,17 @@
 
 def test_answer_belongs_to_the_request_whose_id_it_carries():
     sent = _request((b"request-id", b"r1"))
-    assert headers.answer_belongs(sent, HttpResponse(200, ((b"Request-Id", b"r1"),)))
-    assert headers.answer_belongs(sent, HttpResponse(200))
-    assert not headers.answer_belongs(sent, HttpResponse(200, ((b"Request-Id", b"r2"),)))
+    for fresh in (True, False):
+        mine, other = (HttpResponse(200, ((b"Request-Id", name),)) for name in (b"r1", b"r2"))
+        assert headers.answer_belongs(sent, mine, fresh)
+        assert not headers.answer_belongs(sent, other, fresh)
+
+
+def test_good_answer_without_an_id_is_believed_on_a_fresh_connection_only():
+    sent = _request((b"request-id", b"r1"))
+    assert headers.answer_belongs(sent, HttpResponse(200), True)
+    assert not headers.answer_belongs(sent, HttpResponse(200), False)
+    assert headers.answer_belongs(sent, HttpResponse(503), False)
 
 
 def test_refusal_carries_no_stamp_of_a_target():
