Believe no answer without an id on a used connection, whatever its status

A second copy of a refusal that carries no id said of the next booking that it had not run, though it had: the caller got 503.

Test, failing before: test_second_copy_of_a_refusal_does_not_say_that_the_next_ booking_was_not_run.

--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -132,6 +132,21 @@
     assert run(two_requests) == (b"first caller's", b"second caller's")
 
 
+def test_second_copy_of_a_refusal_does_not_say_that_the_next_booking_was_not_run():
+    refusal = answer_bytes(503, b"", not_executed="1")
+    copy = answer_bytes(503, b"", request_id=None, not_executed="1")
+
+    async def two_bookings():
+        it = _Copier([refusal], copy + answer_bytes(200, b"booked", request_id="a2"))
+        forwarder, _ = new_forwarder([("t0", target(await it.start()))], BOOKING)
+        first = await forwarder.handle(request(method="POST"))
+        await curio.sleep(0.2)
+        second = await forwarder.handle(request(method="POST", request_id="a2"))
+        return first.status, second.status, second.body
+
+    assert run(two_bookings) == (503, 200, b"booked")
+
+
 class _Copier:
     """Sends its first answers one after the other to the first request, then another one."""
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -78,11 +78,11 @@
         assert not headers.answer_belongs(sent, other, fresh)
 
 
-def test_good_answer_without_an_id_is_believed_on_a_fresh_connection_only():
+@pytest.mark.parametrize("status", [200, 421, 503])
+def test_answer_without_an_id_is_believed_on_a_fresh_connection_only(status):
     sent = _request((b"request-id", b"r1"))
-    assert headers.answer_belongs(sent, HttpResponse(200), True)
-    assert not headers.answer_belongs(sent, HttpResponse(200), False)
-    assert headers.answer_belongs(sent, HttpResponse(503), False)
+    assert headers.answer_belongs(sent, HttpResponse(status), True)
+    assert not headers.answer_belongs(sent, HttpResponse(status), False)
 
 
 def test_refusal_carries_no_stamp_of_a_target():
