--- a/packages/core/src/carawayquay/domain_relays.py
+++ b/packages/core/src/carawayquay/domain_relays.py
@@ -16,7 +16,7 @@
 #: Relays between two domains at each side; the second goes on where the first is cut off or gone.
 RELAYS = 2
 
-_rank = lru_cache(maxsize=65536)(score)
+_rank = lru_cache(maxsize=16384)(score)
 
 
 def relays(domain: str, other: str, vms: Iterable[str]) -> tuple[str, ...]:
