List the store at once while callers wait, in place of asking neighbours first

Change: a VM that has refused a caller because it knows nothing lists the store itself. At a start without callers the order of neighbours stays.

Test, failing before: test_vm_that_starts_lists_the_store_at_once_while_ callers_wait.

--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -101,6 +101,7 @@
         now = state.clock.now()
         configuration = state.configuration
         if configuration is None:
+            state.callers_wait = True
             reason = "no configuration is known"
             return self._answers.refuse(call, ErrorKind.UNCONFIGURED, reason, _UNCONFIGURED_RETRY)
         route = configuration.find(call.host, call.path)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -93,6 +93,8 @@
         #: How often this VM went on after a pause, in which all that it knows may have changed.
         self.wakes = 0
         self.store_failed_at: timedelta | None = None
+        #: Whether callers were refused because this VM knew no configuration yet.
+        self.callers_wait = False
         self.adoption = Adoption(self)
         self.replicas = self.adoption.replicas()
 
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -45,7 +45,7 @@
 #: lists them itself as soon as it has heard who is there, the others after the longer time.
 _FIRST_LISTS_AFTER = timedelta(seconds=0.5)
 _OTHERS_LIST_AFTER = timedelta(seconds=3)
-_NEIGHBOUR_SECONDS = 0.2
+_NEIGHBOUR_SECONDS = 0.1
 
 #: Time in which a change should have come by the watch, after another VM was seen to have it.
 _LAG_SECONDS = 0.5
@@ -98,10 +98,13 @@
         return on_duty(self._state.identity, self._state.peers, self._state.clock.now())
 
     async def _start_from_neighbour(self) -> None:
-        """Take the objects from a VM of the domain, if one has them before long."""
+        """Take the objects from a VM of the domain, if one has them before long.
+
+        While callers wait for them, the store is listed at once.
+        """
         state = self._state
         started = state.clock.now()
-        while True:
+        while not state.callers_wait:
             now = state.clock.now()
             before = neighbour(state.identity, state.peers, now)
             if now - started >= (_FIRST_LISTS_AFTER if before is None else _OTHERS_LIST_AFTER):
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -308,5 +308,21 @@
     run(check)
 
 
+def test_vm_that_starts_lists_the_store_at_once_while_callers_wait():
+    async def check(waits):
+        store = await _filled()
+        state = GatewayState(settings(), MonotonicClock(), Metrics(), identity())
+        for number in (2, 3, 4):
+            mate = identity(f"puget-a-{number}", f"127.0.0.{number}")
+            state.peers.receive(LoadReport(mate, 1, False, ()), _now(state))
+        state.callers_wait = waits
+        await _started(store, state)
+        await curio.sleep(0.3)
+        return state.ready
+
+    assert run(check, True)
+    assert not run(check, False)
+
+
 def _lists(store):
     return sum("watch=" not in call for call in store.calls)
