--- a/packages/gateway/tests/test_gateway_process.py
+++ b/packages/gateway/tests/test_gateway_process.py
@@ -10,7 +10,14 @@
 import curio
 import pytest
 from curio.network import run_server, tcp_server_socket
-from gateway_builders import SETTINGS_TEXT, answer_bytes, configuration, request, target
+from gateway_builders import (
+    SETTINGS_TEXT,
+    answer_bytes,
+    configuration,
+    request,
+    route,
+    target,
+)
 
 from carawayquay.membership import Address
 from carawayquay_standins.platform_store import PlatformStoreStandIn
@@ -83,6 +90,15 @@
             return 0
         return answer.status
 
+    async def text(self, address, path):
+        """Return the body of a plain request's answer."""
+        plain = HttpRequest("GET", path, (), b"")
+        return (await HttpClient().exchange(address, plain, 2.0)).body.decode()
+
+    def change_settings(self, old, new):
+        """Write the settings file with another text in place of one."""
+        self._path.write_text(self._path.read_text().replace(old, new))
+
     async def exited(self):
         async with curio.timeout_after(_STOP_SECONDS):
             while self.process.poll() is None:
@@ -179,3 +195,46 @@
         assert await site.status(site.lookups, "/other") == 404
 
     _on_site(tmp_path, check)
+
+
+def test_route_that_is_not_understood_takes_no_other_with_it(tmp_path):
+    async def check(site):
+        known = [route(), route(name="r-2", path_prefix="/new/", kind="a kind of later")]
+        broken = [route(name="r-3", path_prefix="/broken/", timeout=["soon"])]
+        await site.store.put("config", "main", configuration(*known, *broken, version=2))
+        client = HttpClient()
+
+        async def status(path):
+            return (await client.exchange(site.callers, request(path=path), 5.0)).status
+
+        while await status("/new/x") != 200:
+            await curio.sleep(0.05)
+        assert await status("/reports/7") == 200
+        assert await status("/broken/x") == 503
+        assert await status("/nowhere/") == 404
+        text = await site.text(site.admin, "/metrics")
+        assert 'configuration_remarks_total{effect="refused"} 1' in text
+        assert 'configuration_remarks_total{effect="assumed"} 1' in text
+        assert "a kind of later" in await site.text(site.admin, "/dump")
+
+    _on_site(tmp_path, check)
+
+
+def test_settings_that_change_under_load_cut_nothing_off(tmp_path):
+    async def check(site):
+        outcomes = []
+        client = HttpClient()
+        async with curio.TaskGroup() as group:
+            for index in range(60):
+                await group.spawn(_send, site, outcomes, client, index)
+                await curio.sleep(0.02)
+                if index % 10 == 5:
+                    site.change_settings("retry_window = 10s", f"retry_window = {index}s")
+                    site.process.send_signal(signal.SIGHUP)
+                if index == 30:
+                    site.change_settings("cold_over = 1.5", "cold_over = not a number")
+                    site.process.send_signal(signal.SIGHUP)
+        assert outcomes == [200] * 60
+        assert "cold_over" in await site.text(site.admin, "/dump")
+
+    _on_site(tmp_path, check)
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -297,6 +297,31 @@
     return state.clock.now()
 
 
+def test_configurations_in_a_storm_end_with_the_last_one_at_every_vm_and_never_go_back():
+    async def check():
+        store = await _filled()
+        states = await _started_domain(store)
+        seen = {state.identity.name: [] for state in states}
+
+        async def look():
+            while True:
+                for state in states:
+                    seen[state.identity.name].append(state.configuration.version)
+                await curio.sleep(0.01)
+
+        await curio.spawn(look, daemon=True)
+        for version in range(10, 43):
+            await store.put("config", "main", configuration(version=version))
+            await curio.sleep(0.03)
+        last = states[0].clock.now()
+        await _until(lambda: all(state.configuration.version == 42 for state in states))
+        assert states[0].clock.now() - last < timedelta(seconds=2)
+        for versions in seen.values():
+            assert versions == sorted(versions)
+
+    run(check)
+
+
 def test_vm_that_was_paused_lists_the_store_again_at_once():
     async def check():
         store = await _filled()
