--- a/packages/gateway/src/carawayquay_gateway/service_state.py
+++ b/packages/gateway/src/carawayquay_gateway/service_state.py
@@ -19,7 +19,7 @@
 _WINDOW = timedelta(seconds=3)
 
 #: Weight of the present among the requests at a region's targets, as it is looked at.
-_BUSY_WEIGHT = 0.5
+_BUSY_WEIGHT = 0.2
 
 
 class ServiceState:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -38,8 +38,8 @@
 #: Share of a region's requests below which their number at its targets tells nothing.
 _LEAST_SHARE = 0.2
 
-#: Time between two moves of the shares, less a part of a turn.
-_SHARES_INTERVAL = timedelta(milliseconds=550)
+#: How long the sums of other VMs' rates stand, which are themselves those of some seconds.
+_RATES_LIFE = timedelta(milliseconds=600)
 
 #: Time between two looks for what is left of targets that are gone.
 _PRUNE_INTERVAL = timedelta(seconds=10)
@@ -86,7 +86,7 @@
         self._names: dict[int, str] = {}
         self._names_of = -1
         self._rates = RegionRates()
-        self._shares_at = timedelta()
+        self._rates_until = timedelta()
         self._prune_at = timedelta()
         self._updated_at: timedelta | None = None
         self._started_at = clock.now()
@@ -187,10 +187,11 @@
 
     def _update_shares(self, now: timedelta) -> None:
         """Move the shares of requests that stay in their region."""
-        if self.configuration is None or now < self._shares_at:
+        if self.configuration is None:
             return
-        self._shares_at = now + _SHARES_INTERVAL
-        self._rates = self.peers.rates(now)
+        if now >= self._rates_until:
+            self._rates = self.peers.rates(now)
+            self._rates_until = now + _RATES_LIFE
         for name in self.configuration.service_names:
             service = self.service(name)
             service.kept.update(self._region_load(name, service, now), now)
