Take the share before any request from all targets that have registered by then

Cause: a region's share before any request was taken once, as soon as one target was known. Since VMs take the objects a moment earlier or later than before, one service had no target of the region among its first six, and its share stayed 0 until traffic began, when VMs that had seen more targets kept all.

Change: until something was asked for, the share follows the targets.

Test, failing before: test_share_before_any_request_follows_the_targets_that_ register.

--- a/packages/core/src/carawayquay/kept_share.py
+++ b/packages/core/src/carawayquay/kept_share.py
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._share: float | None = None
         self._updated: timedelta | None = None
+        self._asked = False
 
     @property
     def share(self) -> float:
@@ -73,13 +74,15 @@
     def update(self, load: RegionLoad, now: timedelta) -> None:
         """Move the share toward what the load asks for.
 
-        While nothing is asked for the share stays; the first one is for an assumed demand.
+        Before anything was asked for, the share is that of an assumed demand, as targets register
+        one after the other; while nothing is asked for later, it stays.
         """
         if load.all_demand <= 0:
-            if self._share is None and load.all_capacity > 0:
+            if not self._asked and load.all_capacity > 0:
                 self._share = wanted_share(_assumed(load))
             self._updated = now
             return
+        self._asked = True
         wanted = wanted_share(load)
         if self._share is None or self._updated is None or wanted == 0.0:
             self._share = wanted
--- a/packages/core/tests/test_kept_share.py
+++ b/packages/core/tests/test_kept_share.py
@@ -58,3 +58,14 @@
         share.update(attrs.evolve(LOAD, demand=demand, capacity=capacity), now)
         assert abs(share.share - before) <= 0.05 * seconds + 1e-9
         assert 0.0 <= share.share <= 1.0
+
+
+def test_share_before_any_request_follows_the_targets_that_register():
+    share = KeptShare()
+    share.update(RegionLoad(0, capacity=0, all_demand=0, all_capacity=6, regions=3), timedelta())
+    assert share.share == 0.0
+    share.update(RegionLoad(0, capacity=12, all_demand=0, all_capacity=36, regions=3), timedelta())
+    assert share.share == 1.0
+    share.update(RegionLoad(1, capacity=12, all_demand=3, all_capacity=36, regions=3), timedelta())
+    share.update(RegionLoad(0, capacity=2, all_demand=0, all_capacity=36, regions=3), timedelta())
+    assert share.share == 1.0
