--- a/packages/core/src/carawayquay/domain_relays.py
+++ b/packages/core/src/carawayquay/domain_relays.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from functools import lru_cache
-from heapq import nlargest
 from typing import TYPE_CHECKING
 
-from carawayquay.rendezvous import score
+from carawayquay.rendezvous import ranked
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["RELAYS", "relays"]
+__all__ = ["relays"]
 
 #: Relays between two domains at each side; the second goes on where the first is cut off or gone.
-RELAYS = 2
-
-_rank = lru_cache(maxsize=16384)(score)
+_RELAYS = 2
 
 
 def relays(domain: str, other: str, vms: Iterable[str]) -> tuple[str, ...]:
@@ -31,5 +27,4 @@
     >>> relays("a", "b", ["vm-1", "vm-2", "vm-3"]) == relays("a", "b", ["vm-3", "vm-2", "vm-1"])
     True
     """
-    key = f"relay/{domain}/{other}"
-    return tuple(nlargest(RELAYS, vms, key=lambda vm: (_rank(key, vm), vm)))
+    return ranked(f"relay/{domain}/{other}", vms)[:_RELAYS]
--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -135,15 +136,13 @@
 
         :param domains: all failure domains, the own one too
         """
-        near = len(self.near) + 1
+        direct = Counter(peer.identity.domain for peer in self._peers.values())
+        near = direct[self._own.domain] + 1
         whole = near
-        for name in domains:
-            if name == self._own.domain:
-                continue
+        for name in set(domains) - {self._own.domain}:
             domain = self._far.get(name)
             vms = domain.vms if domain is not None else 0
-            direct = sum(peer.identity.domain == name for peer in self._peers.values())
-            whole += max(vms, direct) or near
+            whole += max(vms, direct[name]) or near
         return whole
 
     def live_vms(self, now: timedelta) -> list[VMIdentity]:
--- a/packages/core/src/carawayquay/far_domains.py
+++ b/packages/core/src/carawayquay/far_domains.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -181,9 +182,7 @@
     def _update_paces(self) -> None:
         """Let each domain be heard as often as the number of domains allows."""
         apart = {name: self._distance(domain) for name, domain in self._domains.items()}
-        counts: dict[Distance, int] = {}
-        for value in apart.values():
-            counts[value] = counts.get(value, 0) + 1
+        counts = Counter(apart.values())
         for name, domain in self._domains.items():
             domain.pace = summary_pace(apart[name], counts, self._near)
 
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -117,17 +118,17 @@
 
     def _named_to(self, asking: VMIdentity) -> tuple[VMIdentity, ...]:
         """Return the VMs that one that asks is told: of its own domain all, of others a few."""
-        of_others: dict[str, int] = {}
+        of_others: Counter[str] = Counter()
         named = []
         now = self._state.clock.now()
         live = self._state.peers.live_vms(now)
-        gone = {vm.name for vm in live}
-        hearsay = [vm for vm in self._state.peers.far.members() if vm.name not in gone]
+        names = {vm.name for vm in live}
+        hearsay = [vm for vm in self._state.peers.far.members() if vm.name not in names]
         for vm in (*live, *hearsay):
             if vm.name == asking.name:
                 continue
             if vm.domain != asking.domain:
-                of_others[vm.domain] = of_others.get(vm.domain, 0) + 1
+                of_others[vm.domain] += 1
                 if of_others[vm.domain] > _NAMED_OF_OTHERS:
                     continue
             named.append(vm)
--- a/packages/gateway/src/carawayquay_gateway/summaries.py
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -56,7 +56,6 @@
         self._due: dict[timedelta, timedelta] = {}
         self._passed_on: dict[str, timedelta] = {}
         self._relays: dict[str, tuple[str, ...]] = {}
-        self._first: dict[str, str] = {}
         self._roster: frozenset[VMIdentity] = frozenset()
         self._roster_at = timedelta()
         self._live: set[str] = set()
@@ -80,8 +79,7 @@
     async def _send(self) -> None:
         while True:
             now = self._state.clock.now()
-            self._update_roster(now)
-            self._update_relays()
+            self._update_relays(changed=self._update_roster(now))
             self._note_domains(now)
             self._send_due(now)
             await self._state.turns.next()
@@ -92,8 +90,8 @@
         name, found = self._state.identity.name, self.relays(domain)
         return found.index(name) if name in found else None
 
-    def _update_roster(self, now: timedelta) -> None:
-        """Note who of the own domain is live."""
+    def _update_roster(self, now: timedelta) -> bool:
+        """Note who of the own domain is live; return whether that changed."""
         state = self._state
         members = {
             peer.identity
@@ -102,22 +100,25 @@
         }
         if not state.stopping:
             members.add(state.identity)
-        if members != self._roster:
-            self._roster, self._roster_at = frozenset(members), now
-            self._relays.clear()
+        if members == self._roster:
+            return False
+        self._roster, self._roster_at = frozenset(members), now
+        return True
+
+    def _update_relays(self, *, changed: bool) -> None:
+        """Note who speaks to whom, for all domains or for those that have become known.
 
-    def _update_relays(self) -> None:
-        """Note who speaks to whom, where the own domain or the domains that are known changed."""
+        :param changed: whether the own domain's roster is another one than before
+        """
         own = self._state.identity
         names = [member.name for member in self._roster]
         for domain in self._state.peers.far:
-            if domain.name in self._relays:
+            before = self.relays(domain.name)
+            if domain.name in self._relays and not changed:
                 continue
             found = self._relays[domain.name] = relays(own.domain, domain.name, names)
-            if found[:1] != (self._first.get(domain.name),) and found:
-                self._first[domain.name] = found[0]
-                if own.name in found:
-                    _log.info(Event.RELAYS_CHANGED, towards=domain.name, relays=",".join(found))
+            if found[:1] != before[:1] and own.name in found:
+                _log.info(Event.RELAYS_CHANGED, towards=domain.name, relays=",".join(found))
 
     def _note_domains(self, now: timedelta) -> None:
         """Log the domains that were found and lost."""
--- a/packages/gateway/src/carawayquay_gateway/turns.py
+++ b/packages/gateway/src/carawayquay_gateway/turns.py
@@ -10,10 +10,10 @@
 if TYPE_CHECKING:
     from random import Random
 
-__all__ = ["TURN_SECONDS", "Turns"]
+__all__ = ["Turns"]
 
 #: The shortest period of anything that is done periodically.
-TURN_SECONDS = 0.2
+_TURN_SECONDS = 0.2
 
 
 class Turns:
@@ -23,9 +23,9 @@
     """
 
     def __init__(self, random: Random) -> None:
-        self._phase = random.random() * TURN_SECONDS
+        self._phase = random.random() * _TURN_SECONDS
 
-    async def next(self, turns: int = 1) -> None:
-        """Wait for the next moment that is a multiple of so many turns."""
-        period = turns * TURN_SECONDS
-        await curio.sleep(period - (time.monotonic() - self._phase) % period)
+    async def next(self) -> None:
+        """Wait for the next of these moments."""
+        passed = (time.monotonic() - self._phase) % _TURN_SECONDS
+        await curio.sleep(_TURN_SECONDS - passed)
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import time
 from contextlib import suppress
@@ -18,6 +17,7 @@
 from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget, unknown_length
 from carawayquay_wire.dialing import dial
 from carawayquay_wire.http import HttpRequest, HttpResponse
+from carawayquay_wire.readiness import readable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -101,9 +101,7 @@
 
     def ended(self) -> bool:
         """Return whether the server closed this idle connection, or sent what nobody asked for."""
-        poll = select.poll()
-        poll.register(self._sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return readable(self._sock)
 
     async def exchange(self, request: HttpRequest, belongs: Belongs | None = None) -> HttpResponse:
         """Send a request and return its whole answer.
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import inspect
-import select
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -15,6 +14,7 @@
 from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget, unknown_length
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse
+from carawayquay_wire.readiness import readable
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -108,7 +108,7 @@
         self._closing = True
         self._draining = True
         for sock in list(self._idle):
-            if not _has_come(sock):
+            if not readable(sock):
                 await _shut(sock)
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
@@ -219,7 +219,7 @@
 
     async def _wait_first(self, sock: Any, connection: h11.Connection) -> bool:
         """Wait for the first bytes of a request and return whether any came."""
-        if self._draining and not _has_come(sock):
+        if self._draining and not readable(sock):
             return False
         self._idle.add(sock)
         self._deadlines[sock] = time.monotonic() + self._limits.idle_seconds
@@ -383,13 +383,6 @@
                 pass
 
 
-def _has_come(sock: Any) -> bool:
-    """Return whether bytes, or the other end's close, wait to be read."""
-    poll = select.poll()
-    poll.register(sock.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 async def _shut(sock: Any) -> None:
     with suppress(OSError):
         await sock.shutdown(2)
