--- a/packages/gateway/tests/test_gateway_process.py
+++ b/packages/gateway/tests/test_gateway_process.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import signal
-import subprocess
-import sys
 import time
 
 import curio
@@ -18,6 +16,7 @@
     route,
     target,
 )
+from gateway_site import free_ports, launch_gateway, status_of, until_ready
 
 from carawayquay.membership import Address
 from carawayquay_standins.platform_store import PlatformStoreStandIn
@@ -28,7 +27,6 @@
 
 _WORK_SECONDS = 0.3
 _STOP_SECONDS = 6.0
-_START_SECONDS = 20.0
 _HOST = "127.9.0.1"
 
 
@@ -50,7 +48,7 @@
         self.process = None
 
     async def start(self):
-        ports = _free_ports(5)
+        ports = free_ports(_HOST, 5)
         store = tcp_server_socket(_HOST, 0)
         await curio.spawn(run_server, store, self.store.http.serve, daemon=True)
         for index in range(2):
@@ -71,24 +69,14 @@
         return self
 
     def launch(self):
-        program = "import sys; from carawayquay_gateway.app import run; run(sys.argv[1])"
-        with self._log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-c", program, str(self._path)], stdout=log, stderr=log
-            )
+        self.process = launch_gateway(self._path, self._log)
 
     async def until_ready(self):
-        async with curio.timeout_after(_START_SECONDS):
-            while await self.status(self.ready, "/ready") != 200:
-                await curio.sleep(0.05)
+        await until_ready(self.ready)
 
     async def status(self, address, path):
         """Return the status of a GET request, or 0 without an answer."""
-        try:
-            answer = await HttpClient().exchange(address, HttpRequest("GET", path, (), b""), 1.0)
-        except HttpError:
-            return 0
-        return answer.status
+        return await status_of(address, path)
 
     async def text(self, address, path):
         """Return the body of the answer to a GET request."""
@@ -111,14 +99,6 @@
             self.process.wait()
 
 
-def _free_ports(count):
-    socks = [tcp_server_socket(_HOST, 0) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock._socket.close()
-    return ports
-
-
 def _on_site(tmp_path, check):
     async def go():
         site = Site(tmp_path)
