Keep the limits of requests that targets name for all VMs together

Each VM now sends a share of the requests for which it would choose a limited target: the limit over the demand of the whole fleet, which reports and summaries carry in bounded size. While the demand of others is unknown, each VM keeps to an equal part. No right is saved up, so that 195 VMs that are idle do not send at once. What does not fit goes to other targets of the region, beyond it only within the spill-over budget, or is refused at once; a region's capacity counts what its targets take, so its share moves as slowly as before. Log lines of a request name the limit, its age and the share.

The recordings of reports keep the earlier build's bytes: they are decoded to the same fields, and the earlier schema decodes what is written now.

--- a/packages/core/src/carawayquay/errors.py
+++ b/packages/core/src/carawayquay/errors.py
@@ -54,6 +54,7 @@
     OVERLOADED = "overloaded"
     CAP_REACHED = "cap-reached"
     NO_TARGET = "no-target"
+    TARGET_LIMITED = "target-limited"
     DEADLINE_TOO_SHORT = "deadline-too-short"
     QUARANTINED = "quarantined"
     STOPPING = "stopping"
@@ -101,6 +102,7 @@
     ErrorKind.OVERLOADED: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.CAP_REACHED: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.NO_TARGET: Answer(503, Outcome.NOT_RUN, retryable=True),
+    ErrorKind.TARGET_LIMITED: Answer(503, Outcome.NOT_RUN, retryable=True),
     ErrorKind.DEADLINE_TOO_SHORT: Answer(504, Outcome.NOT_RUN),
     ErrorKind.QUARANTINED: Answer(422, Outcome.NOT_RUN),
     ErrorKind.STOPPING: Answer(503, Outcome.NOT_RUN, retryable=True),
--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -9,7 +9,15 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-__all__ = ["CallerRequest", "TargetAnswer", "TargetLoad"]
+__all__ = [
+    "AnswerLimit",
+    "CallerRequest",
+    "LimitAbsent",
+    "LimitNamed",
+    "LimitUnreadable",
+    "TargetAnswer",
+    "TargetLoad",
+]
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -48,6 +56,31 @@
     slots: int
 
 
+@attrs.frozen
+class LimitNamed:
+    """An answer names a limit.
+
+    :param rate: requests/s that the target takes from all VMs together
+    """
+
+    rate: float
+
+
+@attrs.frozen
+class LimitAbsent:
+    """An answer names no limit."""
+
+
+@attrs.frozen
+class LimitUnreadable:
+    """An answer names a limit that cannot be read."""
+
+    text: str
+
+
+AnswerLimit = LimitNamed | LimitAbsent | LimitUnreadable
+
+
 @attrs.frozen
 class TargetAnswer:
     """A target's complete answer.
@@ -56,6 +89,7 @@
     :param address_reused: whether the answer came from another target at the same address
     :param load: the load that the target reported, or None
     :param keep_alive_timeout: the target's timeout of idle connections, or None if it sent none
+    :param limit: what the answer says about the rate of requests that the target takes
     """
 
     status: int
@@ -65,3 +99,4 @@
     address_reused: bool
     load: TargetLoad | None
     keep_alive_timeout: timedelta | None
+    limit: AnswerLimit = LimitAbsent()
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -13,6 +13,7 @@
     "LoadReport",
     "ServiceRate",
     "TargetCount",
+    "TargetLimitReport",
     "VMIdentity",
     "WarmObject",
     "short_hash",
@@ -79,6 +80,22 @@
     crashes: int
 
 
+@attrs.frozen
+class TargetLimitReport:
+    """What a target said last about its limit, and the demand of the sender for it.
+
+    :param target: short hash of the target's name and incarnation
+    :param rate: requests/s that it takes from all VMs together, or None if its limit has ended
+    :param age: seconds since the target said so
+    :param demand: requests/s for which the sender would choose the target, sent there or not
+    """
+
+    target: int
+    rate: float | None
+    age: float
+    demand: float
+
+
 @attrs.frozen
 class LoadReport:
     """The current load and state of one VM.
@@ -90,6 +107,8 @@
     :param warmed: objects for which targets became warm
     :param members: gossip: a rotating sample of the live VMs that the sender knows
     :param asking: whether the sender, which knows few VMs, requests gossip in return
+    :param limits: the targets that named a limit, or None if the sender's version does not report
+        them
     """
 
     sender: VMIdentity
@@ -103,6 +122,7 @@
     warmed: tuple[WarmObject, ...] = ()
     members: tuple[VMIdentity, ...] = ()
     asking: bool = False
+    limits: tuple[TargetLimitReport, ...] | None = None
 
 
 @attrs.frozen
@@ -116,6 +136,8 @@
     :param members: the live members, empty if unchanged since an earlier summary
     :param targets: the requests that all members have in flight, by target
     :param rates: the rates in requests/s of all members, by service
+    :param limits: the targets that named a limit, with the demand of all members, or None if the
+        sender's version does not report them
     """
 
     sender: VMIdentity
@@ -127,3 +149,4 @@
     rates: tuple[ServiceRate, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
     warmed: tuple[WarmObject, ...] = ()
+    limits: tuple[TargetLimitReport, ...] | None = None
--- a/packages/core/src/carawayquay/placement.py
+++ b/packages/core/src/carawayquay/placement.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable, Iterable
 
     from carawayquay.discovery import RegisteredTarget
+    from carawayquay.target_limits import LimitReached
     from carawayquay.target_stats import TargetStats
 
 __all__ = [
@@ -75,6 +76,7 @@
     :param warm: whether the target is known to be warm for the object
     :param round_trip: network round-trip time in seconds
     :param cost: expected delay in seconds, with the penalties for distance and failures
+    :param limit_reached: the limit that kept the request from a better target, or None
     """
 
     target: RegisteredTarget
@@ -83,6 +85,7 @@
     warm: bool
     round_trip: float
     cost: float
+    limit_reached: LimitReached | None = None
 
 
 @attrs.frozen
@@ -90,9 +93,11 @@
     """No candidate has a free slot or an acceptable queue.
 
     :param wait: seconds until a queue is expected to be acceptable, or None without a candidate
+    :param limit_reached: the limit that kept the request from a target, or None
     """
 
     wait: float | None
+    limit_reached: LimitReached | None = None
 
 
 def choose_cheapest(
--- a/packages/core/src/carawayquay/refusals.py
+++ b/packages/core/src/carawayquay/refusals.py
@@ -9,7 +9,7 @@
 
     from carawayquay.routes import Route
 
-__all__ = ["max_queue_wait", "retry_after"]
+__all__ = ["limited_retry_after", "max_queue_wait", "retry_after"]
 
 #: Maximum queueing time of a request that is late in any case, as a fraction of target latency.
 _LATE_WAIT_FRACTION = 0.6
@@ -21,6 +21,9 @@
 _MIN_RETRY_AFTER = 0.05
 _MAX_RETRY_AFTER = 2.0
 
+#: Maximum retry-after time in seconds where targets limit their requests; limits change by then.
+_MAX_LIMITED_RETRY_AFTER = 30.0
+
 #: Maximum retry-after time, as a fraction of the caller's remaining time.
 _REMAINING_FRACTION = 0.3
 
@@ -54,3 +57,13 @@
     expected = _NO_TARGET_DELAY if wait is None else wait
     soon = _MIN_RETRY_AFTER + expected * (1.0 + random.random())
     return max(0.0, min(latest, soon))
+
+
+def limited_retry_after(wait: float, random: Random) -> float:
+    """Return the time in seconds after which a request refused for a limit may be admitted.
+
+    It is stated even if the caller's deadline is earlier: an earlier retry would be refused too.
+
+    :param wait: seconds in which the limit admits one of the requests that compete for it
+    """
+    return min(_MAX_LIMITED_RETRY_AFTER, _MIN_RETRY_AFTER + wait * (1.0 + random.random()))
--- /dev/null
+++ b/packages/core/src/carawayquay/target_limits.py
@@ -0,0 +1,373 @@
+"""Keeps the limits of requests that targets name for all entry VMs together.
+
+Each VM sends a share of the requests for which it would choose a limited target. All VMs compute
+the share alike: the limit divided by the demand of the whole fleet, which they tell each other.
+While the demand of other VMs is not known, each VM keeps to an equal part of the limit.
+"""
+
+from __future__ import annotations
+
+import enum
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import attrs
+
+from carawayquay.decaying_rate import DecayingRate
+from carawayquay.fleet_demand import FleetDemand
+from carawayquay.load_reports import TargetLimitReport, short_hash
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from carawayquay.discovery import RegisteredTarget
+
+__all__ = [
+    "FleetView",
+    "LimitChange",
+    "LimitReached",
+    "ServiceLoad",
+    "TargetLimit",
+    "TargetLimits",
+    "limit_key",
+]
+
+#: Fraction of a limit that is used, as reported demand is older than the demand itself.
+_SAFETY_FACTOR = 0.9
+
+#: Rate in requests/s of all VMs at which a target with a lower limit is asked whether it still has
+#: one; only an answer can tell.
+_PROBE_RATE = 0.2
+
+#: Time constant of the demand for a target.
+_DEMAND_TIME = timedelta(seconds=2)
+
+#: Demand in requests/s below which a target is not reported.
+_NEGLIGIBLE_DEMAND = 0.01
+
+#: Minimum time after a limit was first heard in which other VMs may not have reported their demand.
+_LEARNING_TIME = timedelta(seconds=3)
+
+#: Report intervals in which the demand of every VM has reached all others.
+_LEARNING_INTERVALS = 2
+
+#: Age at which what a target said is no longer taken from other VMs, so that an old limit cannot
+#: come back; the end of a limit is remembered for longer.
+_MAX_REPORTED_AGE = timedelta(seconds=8)
+_ENDED_LIFETIME = timedelta(seconds=12)
+
+#: Time after which a limit is forgotten whose target has no demand any more.
+_UNUSED_LIFETIME = timedelta(seconds=120)
+
+#: Maximum number of targets in one report, and in one summary of a domain.
+_MAX_REPORTED_TARGETS = 64
+_MAX_SUMMARY_TARGETS = 256
+
+
+class LimitChange(enum.Enum):
+    """What an answer or a report changed about the limit of a target."""
+
+    NAMED = "named"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class TargetLimit:
+    """The limit of a target that is in force.
+
+    :param rate: requests/s that the target takes from all VMs together
+    :param age: seconds since the target's last answer that this or another VM reported
+    :param share: fraction of this VM's requests for the target that are sent, 0 to 1
+    """
+
+    rate: float
+    age: float
+    share: float
+
+
+@attrs.frozen
+class LimitReached:
+    """A limit that kept a request from a target.
+
+    :param target: name of the target
+    """
+
+    target: str
+    limit: TargetLimit
+
+    @property
+    def wait(self) -> float:
+        """Seconds in which the limit admits one of the requests that compete for it."""
+        return 1.0 / max(self.limit.rate * self.limit.share, _MIN_ADMISSION_RATE)
+
+
+#: Lower bound in requests/s of the admission rate from which a waiting time is derived.
+_MIN_ADMISSION_RATE = 0.01
+
+
+@attrs.frozen
+class FleetView:
+    """What a VM knows about the other VMs.
+
+    :param vms: number of VMs that share global budgets, including this one
+    :param report_interval: longest time between two reports or summaries to this VM
+    """
+
+    vms: int = 1
+    report_interval: timedelta = timedelta()
+
+
+@attrs.frozen
+class ServiceLoad:
+    """The load of a target's service, from which unknown demand is estimated.
+
+    :param mean_demand: requests/s of all VMs for the service, divided by the number of its targets
+    :param growth: latest rate of this VM's requests relative to that of the last seconds, from 1
+    """
+
+    mean_demand: float = 0.0
+    growth: float = 1.0
+
+
+@attrs.define
+class _Target:
+    """Demand for one incarnation of a target, and the limit that it named.
+
+    :param credit: sum of the shares of the requests that were not sent; one is sent at 1
+    :param rate: the limit in requests/s, or None without a limit
+    :param heard_at: when the last answer that counts arrived, or None before the first limit
+    :param limited_since: when the present limit was first heard
+    """
+
+    credit: float
+    demand: DecayingRate = attrs.field(factory=lambda: DecayingRate(_DEMAND_TIME))
+    rate: float | None = None
+    heard_at: timedelta | None = None
+    limited_since: timedelta = timedelta()
+
+    def age(self, now: timedelta) -> float:
+        """Return the seconds since the last answer that counts."""
+        return (now - self.heard_at).total_seconds()
+
+    def set_rate(
+        self, rate: float | None, heard_at: timedelta, now: timedelta
+    ) -> LimitChange | None:
+        """Set the limit that an answer named, or its end."""
+        before, self.rate, self.heard_at = self.rate, rate, heard_at
+        if before is None and rate is not None:
+            self.limited_since = now
+            return LimitChange.NAMED
+        if before is not None and rate is None:
+            return LimitChange.ENDED
+        return None
+
+
+class TargetLimits:
+    """The limits that targets named, and this VM's share of each of them.
+
+    A limit belongs to one incarnation of a target: a target that starts again under its name has
+    named none.
+
+    :param random: spreads the first request of all VMs, so that they do not send at the same time
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._targets: dict[int, _Target] = {}
+        self._domain_demand = FleetDemand()
+        self._remote_demand = FleetDemand()
+        self._fleet = FleetView()
+        self._unheard_vms = 0
+        self._learning_time = _LEARNING_TIME
+        self._report_offset = 0
+
+    @property
+    def domain_demand(self) -> FleetDemand:
+        """The demand that the other VMs of the own failure domain report."""
+        return self._domain_demand
+
+    @property
+    def remote_demand(self) -> FleetDemand:
+        """The demand that other failure domains report."""
+        return self._remote_demand
+
+    @property
+    def limited(self) -> int:
+        """The number of targets whose limit is in force."""
+        return sum(target.rate is not None for target in self._targets.values())
+
+    def record(
+        self, target: RegisteredTarget, rate: float | None, sent_at: timedelta, now: timedelta
+    ) -> LimitChange | None:
+        """Record the limit that a target's answer names.
+
+        Answers overtake each other: one to a request that was sent before the limit was last heard
+        may make the limit stricter, but neither raise nor end it.
+
+        :param rate: requests/s of all VMs together, or None if the answer names no limit
+        :param sent_at: when the request was sent
+        """
+        key = limit_key(target)
+        known = self._targets.get(key)
+        if rate is None and (known is None or known.rate is None):
+            return None
+        if known is None:
+            known = self._add(key)
+        if not _relaxes(rate, known.rate):
+            return known.set_rate(rate, now, now)
+        if known.heard_at is not None and sent_at <= known.heard_at:
+            return None
+        return known.set_rate(rate, sent_at, now)
+
+    def merge(self, report: TargetLimitReport, now: timedelta) -> LimitChange | None:
+        """Take what another VM heard from a target, if it is newer than what is known here."""
+        age = timedelta(seconds=report.age)
+        if age > _MAX_REPORTED_AGE:
+            return None
+        known = self._targets.get(report.target)
+        if report.rate is None and (known is None or known.rate is None):
+            return None
+        if known is None:
+            known = self._add(report.target)
+        heard_at = now - age
+        if known.heard_at is not None and heard_at <= known.heard_at:
+            return None
+        return known.set_rate(report.rate, heard_at, now)
+
+    def admit(
+        self, target: RegisteredTarget, load: ServiceLoad, now: timedelta
+    ) -> LimitReached | None:
+        """Count a request for a target; return the limit if it must not be sent there."""
+        key = limit_key(target)
+        known = self._targets.get(key)
+        if known is None:
+            known = self._add(key)
+        if known.rate is None:
+            known.demand.count(now)
+            return None
+        limit = self._limit(key, known, load, now)
+        known.demand.count(now)
+        known.credit += limit.share
+        if known.credit < 1.0:
+            return LimitReached(target.name, limit)
+        known.credit -= 1.0
+        return None
+
+    def limit(
+        self, target: RegisteredTarget, load: ServiceLoad, now: timedelta
+    ) -> TargetLimit | None:
+        """Return the limit of a target that is in force, or None."""
+        key = limit_key(target)
+        known = self._targets.get(key)
+        if known is None or known.rate is None:
+            return None
+        return self._limit(key, known, load, now)
+
+    def usable_rate(self, target: RegisteredTarget) -> float | None:
+        """Return the requests/s that all VMs may send to a target, None without a limit."""
+        known = self._targets.get(limit_key(target))
+        return None if known is None or known.rate is None else _admitted_rate(known.rate)
+
+    def reports(self, now: timedelta) -> tuple[TargetLimitReport, ...]:
+        """Return the limited targets for which this VM has demand, for a load report."""
+        reports = [
+            TargetLimitReport(key, known.rate, known.age(now), known.demand.at(now))
+            for key, known in self._reportable(now)
+        ]
+        wanted = [report for report in reports if report.demand > _NEGLIGIBLE_DEMAND]
+        return self._in_turn(wanted, _MAX_REPORTED_TARGETS)
+
+    def domain_reports(self, now: timedelta) -> tuple[TargetLimitReport, ...]:
+        """Return all limited targets, with the demand of the failure domain, for its summary."""
+        reports = [
+            TargetLimitReport(
+                key,
+                known.rate,
+                known.age(now),
+                known.demand.at(now) + self._domain_demand.rate(key, now),
+            )
+            for key, known in self._reportable(now)
+        ]
+        return self._in_turn(reports, _MAX_SUMMARY_TARGETS)
+
+    def update(self, fleet: FleetView, now: timedelta) -> None:
+        """Apply the present view of the fleet, and drop what has expired."""
+        self._fleet = fleet
+        self._domain_demand.expire(now)
+        self._remote_demand.expire(now)
+        reporting = self._domain_demand.reporting_vms(now) + self._remote_demand.reporting_vms(now)
+        self._unheard_vms = max(0, fleet.vms - 1 - reporting)
+        rounds = 1 + self.limited // _MAX_SUMMARY_TARGETS
+        self._learning_time = rounds * max(
+            _LEARNING_TIME, _LEARNING_INTERVALS * fleet.report_interval
+        )
+        for key in [key for key, known in self._targets.items() if _expired(known, now)]:
+            del self._targets[key]
+
+    def _add(self, key: int) -> _Target:
+        known = self._targets[key] = _Target(self._random.random())
+        return known
+
+    def _limit(self, key: int, known: _Target, load: ServiceLoad, now: timedelta) -> TargetLimit:
+        demand = load.growth * self._total_demand(key, known, load.mean_demand, now)
+        share = min(1.0, _admitted_rate(known.rate) / max(demand, _NEGLIGIBLE_DEMAND))
+        return TargetLimit(known.rate, known.age(now), share)
+
+    def _total_demand(self, key: int, known: _Target, mean_demand: float, now: timedelta) -> float:
+        """Return the demand of all VMs for a target, in requests/s.
+
+        The demand of a VM that does not report it counts as large as the own, or as the mean.
+        """
+        own = known.demand.at(now)
+        others = self._domain_demand.rate(key, now) + self._remote_demand.rate(key, now)
+        assumed = max(own, mean_demand / self._fleet.vms)
+        total = own + others + assumed * self._unheard_vms
+        if now - known.limited_since < self._learning_time:
+            return max(total, assumed * self._fleet.vms)
+        return total
+
+    def _reportable(self, now: timedelta) -> list[tuple[int, _Target]]:
+        """Return the targets that other VMs have to know about, by key."""
+        return [
+            (key, known)
+            for key, known in self._targets.items()
+            if known.heard_at is not None
+            and (known.rate is not None or now - known.heard_at < _MAX_REPORTED_AGE)
+        ]
+
+    def _in_turn(
+        self, reports: list[TargetLimitReport], most: int
+    ) -> tuple[TargetLimitReport, ...]:
+        """Return as many reports as fit; those left out come first in the next call."""
+        if len(reports) <= most:
+            return tuple(reports)
+        start = self._report_offset % len(reports)
+        self._report_offset += most
+        return tuple((reports + reports)[start : start + most])
+
+
+def limit_key(target: RegisteredTarget) -> int:
+    """Return the hash of a target and its incarnation, by which reports identify it."""
+    return short_hash(f"{target.name}/{target.incarnation}")
+
+
+def _relaxes(rate: float | None, known: float | None) -> bool:
+    """Return whether a limit is less strict than the known one."""
+    if known is None:
+        return False
+    return rate is None or rate > known
+
+
+def _admitted_rate(rate: float) -> float:
+    """Return the requests/s of all VMs that a limit admits."""
+    return max(_SAFETY_FACTOR * rate, _PROBE_RATE)
+
+
+def _expired(known: _Target, now: timedelta) -> bool:
+    """Return whether a target has neither demand nor a limit that other VMs may still hold."""
+    if known.demand.at(now) > _NEGLIGIBLE_DEMAND:
+        return False
+    if known.heard_at is None:
+        return True
+    lifetime = _ENDED_LIFETIME if known.rate is None else _UNUSED_LIFETIME
+    return now - known.heard_at > lifetime
--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -55,6 +55,7 @@
             warm=placed.warm,
             running=self._state.running(placed.target.name),
             sent=exchange.sent,
+            **self._limit_fields(exchange),
         )
         return headers.caller_response(answer)
 
@@ -75,6 +76,7 @@
             work_ms=int(placed.work * 1000),
             warm=placed.warm,
             running=self._state.running(placed.target.name),
+            **self._limit_fields(exchange),
         )
 
     def exchange_error(
@@ -85,7 +87,14 @@
         :param retry_delay: seconds for the retry-after header, or None to leave it out
         """
         reason = f"{exchange.service}: {reason}"
-        return self.request_error(exchange.call, kind, reason, retry_delay, exchange.route.name)
+        return self.request_error(
+            exchange.call,
+            kind,
+            reason,
+            retry_delay,
+            exchange.route.name,
+            **self._limit_fields(exchange),
+        )
 
     def request_error(
         self,
@@ -94,10 +103,12 @@
         reason: str,
         retry_delay: float | None = None,
         route: str = "",
+        **fields: object,
     ) -> HttpResponse:
         """Return an error answer that no target produced.
 
         :param retry_delay: seconds for the retry-after header, or None to leave it out
+        :param fields: further pairs of the log line
         """
         answer = ANSWERS[kind]
         self._state.metrics.count_refusal(kind)
@@ -110,9 +121,22 @@
             status=answer.status,
             reason=reason,
             retry_after=None if retry_delay is None else round(retry_delay, 3),
+            **fields,
         )
         return headers.refusal_response(kind, answer.status, call.request_id, retry_delay)
 
+    def _limit_fields(self, exchange: Exchange) -> dict[str, object]:
+        """Return the log pairs that name the limit which kept a request from a target, if any."""
+        reached = exchange.limit_reached
+        if reached is None:
+            return {}
+        return {
+            "limited_by": reached.target,
+            "limit": round(reached.limit.rate, 3),
+            "limit_age_ms": int(reached.limit.age * 1000),
+            "limit_share": round(reached.limit.share, 4),
+        }
+
     def reject(self, status: int, reason: str) -> HttpResponse:
         """Return the answer to a request that violates the protocol or a limit."""
         kind = _REJECTION_KINDS.get(status, ErrorKind.MALFORMED)
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -119,6 +119,7 @@
         gauge("body_bytes", lambda: float(bodies.used))
         gauge("configuration_remarks", lambda: float(len(self._state.remarks)))
         gauge("objects_refused", lambda: float(len(self._state.object_applier.refused)))
+        gauge("targets_limited", lambda: float(self._state.target_limits.limited))
         gauge("stopping", lambda: float(self._state.stopping))
 
     async def run(self) -> None:
--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -12,6 +12,7 @@
     from carawayquay.forwarding import CallerRequest, TargetAnswer
     from carawayquay.placement import Placement
     from carawayquay.routes import Route
+    from carawayquay.target_limits import LimitReached
 
 __all__ = ["Exchange", "FailureAnswer"]
 
@@ -35,6 +36,7 @@
     :param sent: number of targets that may have received the request
     :param may_have_run: whether a target may have started to run it
     :param target_failure: the last answer with a failure status that was withheld for a retry
+    :param limit_reached: the limit that kept the request from a target at the last selection
     """
 
     call: CallerRequest
@@ -47,6 +49,7 @@
     sent: int = 0
     may_have_run: bool = False
     target_failure: FailureAnswer | None = None
+    limit_reached: LimitReached | None = None
 
     def elapsed(self, now: timedelta) -> float:
         """Return the seconds since the request was read."""
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -10,7 +10,7 @@
 from carawayquay.crash_counts import CrashCounts, request_fingerprint
 from carawayquay.errors import ErrorKind
 from carawayquay.placement import NoCapacity, Placement
-from carawayquay.refusals import retry_after
+from carawayquay.refusals import limited_retry_after, retry_after
 from carawayquay.routes import UnreadRoutes
 from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.answers import CallerAnswers
@@ -137,8 +137,10 @@
                 return self._deadline_error(exchange)
             match self._select(exchange, now):
                 case NoCapacity() as refused:
+                    exchange.limit_reached = refused.limit_reached
                     return self._final_error(exchange, refused.wait)
                 case Placement() as placed:
+                    exchange.limit_reached = placed.limit_reached
                     answer = await self._send(exchange, placed)
             if answer is not None:
                 return answer
@@ -237,6 +239,11 @@
             return self._answers.exchange_error(
                 exchange, ErrorKind.TARGET_FAILED, "no complete answer from a target"
             )
+        if wait is None and exchange.limit_reached is not None:
+            retry_delay = limited_retry_after(exchange.limit_reached.wait, self._random)
+            return self._answers.exchange_error(
+                exchange, ErrorKind.TARGET_LIMITED, "targets limit their requests", retry_delay
+            )
         retry_delay = retry_after(wait, exchange.remaining(now), self._random)
         if wait is None:
             return self._answers.exchange_error(
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -106,6 +106,7 @@
             return
         self._crashes.merge(report.crashes, now)
         self._state.merge_warm_objects(report.warmed)
+        self._state.limit_recorder.merge_report(report)
         if report.sender.domain == self._state.identity.domain:
             self._summaries.queue_warm_objects(report.warmed)
             if not was_live:
@@ -227,4 +228,5 @@
             warmed=self._warm.current(now),
             members=members,
             asking=asking,
+            limits=state.target_limits.reports(now),
         )
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -24,6 +24,7 @@
 
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.routes import Route
+    from carawayquay.target_limits import LimitReached
     from carawayquay.target_pools import TargetPool
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.state import GatewayState
@@ -50,6 +51,9 @@
 #: Slot utilization up to which a target of the own domain is warmed for more objects.
 _WARMING_UTILIZATION = 0.6
 
+#: Targets of a pool whose limit is asked for one request, which bounds the time of a selection.
+_MAX_LIMITED_TARGETS = 4
+
 #: Penalty in seconds for a target outside the own domain, and outside the own region.
 _OTHER_DOMAIN_COST = 0.02
 _OTHER_REGION_COST = 0.02
@@ -110,14 +114,16 @@
         own = state.targets.in_region(service, region)
         others = state.targets.outside_region(service, region)
         first, second = (own, others) if self._home_is_here(request) else (others, own)
-        chosen = self._choose_from(request, first)
+        chosen = self._choose_within_limits(request, first)
         if isinstance(chosen, Placement):
             return chosen
-        elsewhere = self._choose_from(request, second)
-        if chosen.wait is None:
-            return elsewhere
-        if isinstance(elsewhere, NoCapacity) or not self._spillover_budget.take(state.clock.now()):
+        if chosen.wait is None and chosen.limit_reached is None:
+            return self._choose_within_limits(request, second)
+        elsewhere = self._choose_within_limits(request, second, self._spillover_budget)
+        if isinstance(elsewhere, NoCapacity):
             return chosen
+        if elsewhere.limit_reached is None:
+            return attrs.evolve(elsewhere, limit_reached=chosen.limit_reached)
         return elsewhere
 
     def _home_is_here(self, request: _Request) -> bool:
@@ -127,6 +133,29 @@
             return self._random.random() < share
         return key_position(request.service, request.key) < share
 
+    def _choose_within_limits(
+        self, request: _Request, pool: TargetPool, budget: RatioBudget | None = None
+    ) -> Placement | NoCapacity:
+        """Choose a target of a pool, and pass over targets whose limit is reached.
+
+        :param budget: charged for a request that may be sent, if it is given
+        """
+        now = self._state.clock.now()
+        reached: LimitReached | None = None
+        for _ in range(_MAX_LIMITED_TARGETS):
+            chosen = self._choose_from(request, pool)
+            if isinstance(chosen, NoCapacity):
+                return attrs.evolve(chosen, limit_reached=reached)
+            if budget is not None and not budget.take(now):
+                return NoCapacity(chosen.wait, reached)
+            budget = None
+            limit = self._state.admit(chosen.target, now)
+            if limit is None:
+                return attrs.evolve(chosen, limit_reached=reached)
+            reached = limit if reached is None or limit.wait < reached.wait else reached
+            request = request.without(chosen.target)
+        return NoCapacity(None, reached)
+
     def _choose_from(self, request: _Request, pool: TargetPool) -> Placement | NoCapacity:
         """Choose among the candidates in a pool of targets."""
         now = self._state.clock.now()
@@ -259,6 +288,10 @@
         """Whether the request has affinity to targets that are warm for its object."""
         return bool(self.key) and self.route.sticky
 
+    def without(self, target: RegisteredTarget) -> _Request:
+        """Return the same request with one more target to exclude."""
+        return attrs.evolve(self, tried_targets=self.tried_targets | {target.name})
+
     def allows(self, target: RegisteredTarget) -> bool:
         """Return whether a target is in an allowed region and was not tried before."""
         allowed = self.route.allowed_regions
--- a/packages/gateway/src/carawayquay_gateway/service_state.py
+++ b/packages/gateway/src/carawayquay_gateway/service_state.py
@@ -4,6 +4,8 @@
 
 from collections import deque
 from datetime import timedelta
+from itertools import takewhile
+from math import sqrt
 from typing import TYPE_CHECKING
 
 from carawayquay.local_share import LocalShare
@@ -18,6 +20,9 @@
 #: Sliding window for the request rate.
 _RATE_WINDOW = timedelta(seconds=3)
 
+#: Window at the end of the sliding window in which a rise of the rate is looked for.
+_GROWTH_WINDOW = timedelta(seconds=0.5)
+
 #: Weight of a new sample in the moving average of in-flight requests.
 _IN_FLIGHT_WEIGHT = 0.2
 
@@ -52,6 +57,18 @@
         _expire(self._arrivals, now)
         return len(self._arrivals) / _RATE_WINDOW.total_seconds()
 
+    def growth(self, now: timedelta) -> float:
+        """Return the latest request rate relative to that of the sliding window, from 1.
+
+        A rise that may be chance counts as none.
+        """
+        expected = self.rate(now) * _GROWTH_WINDOW.total_seconds()
+        if expected == 0:
+            return 1.0
+        since = now - _GROWTH_WINDOW
+        latest = sum(1 for _ in takewhile(lambda at: at >= since, reversed(self._arrivals)))
+        return max(1.0, (latest - sqrt(latest)) / expected)
+
 
 def _expire(times: deque[timedelta], now: timedelta) -> None:
     while times and now - times[0] > _RATE_WINDOW:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -12,8 +12,10 @@
 from carawayquay.idle_timeouts import IdleTimeouts
 from carawayquay.load_reports import short_hash
 from carawayquay.local_share import RegionLoad
+from carawayquay.target_limits import FleetView, LimitReached, ServiceLoad, TargetLimits
 from carawayquay.target_stats import TargetStats
 from carawayquay.warm_objects import WarmObjects
+from carawayquay_gateway.limit_recorder import LimitRecorder
 from carawayquay_gateway.object_applier import ObjectApplier
 from carawayquay_gateway.service_state import ServiceState
 from carawayquay_gateway.ticker import Ticker
@@ -82,6 +84,7 @@
         self.cold_rates = ColdRequestRates()
         self.idle_timeouts = IdleTimeouts()
         self.warm_objects = WarmObjects()
+        self.target_limits = TargetLimits(Random(identity.incarnation ^ short_hash(identity.name)))
         self._cold_rate_limits = ColdRateLimit(settings.cold_over, settings.cold_slack)
         self._services: dict[str, ServiceState] = {}
         self._stats: dict[str, TargetStats] = {}
@@ -97,6 +100,7 @@
         self.store_failed_at: timedelta | None = None
         #: Whether a caller was refused because this VM had no configuration yet.
         self.refused_unconfigured = False
+        self.limit_recorder = LimitRecorder(self)
         self.object_applier = ObjectApplier(self)
         self.replicas = self.object_applier.new_replicas()
 
@@ -156,10 +160,18 @@
             return True
         return self.cold_rates.has_room(target.name, self._cold_rate_share(target, now), now)
 
+    def admit(self, target: RegisteredTarget, now: timedelta) -> LimitReached | None:
+        """Count a request for a target; return the target's limit if it must not be sent there."""
+        reached = self.target_limits.admit(target, self._service_load(target.service, now), now)
+        if reached is not None:
+            self.metrics.count("requests_limited_total", service=target.service)
+        return reached
+
     def forget_target(self, name: str) -> None:
         """Forget a removed target, except its statistics while requests are in flight."""
         self.cold_rates.forget(name)
         self.idle_timeouts.forget(name)
+        self.limit_recorder.forget(name)
         self.warm_objects.forget(name)
         stats = self._stats.get(name)
         if stats is not None and stats.running == 0:
@@ -169,6 +181,7 @@
         """Expire peers and targets, prune statistics and update the local shares."""
         self._detect_pause(now)
         self.peers.expire(now)
+        self.target_limits.update(self._fleet_view(), now)
         self.object_applier.remove_expired_targets()
         if now >= self._prune_at:
             self._prune_at = now + _PRUNE_INTERVAL
@@ -216,12 +229,20 @@
             demand = max(demand, in_flight / max(_MIN_SHARE, service.local_share.share))
         return RegionLoad(
             demand=demand,
-            capacity=sum(target.slots for target in near),
+            capacity=sum(self._capacity(target, work) for target in near),
             all_demand=work * (own_rate + self._rates.total(code)),
-            all_capacity=sum(target.slots for target in usable),
+            all_capacity=sum(self._capacity(target, work) for target in usable),
             regions=len(set(self.settings.regions.values())),
         )
 
+    def _capacity(self, target: RegisteredTarget, work: float) -> float:
+        """Return the slots of a target that can be in use, fewer if it limits its requests.
+
+        :param work: mean service time in seconds
+        """
+        rate = self.target_limits.usable_rate(target)
+        return target.slots if rate is None else min(target.slots, rate * work)
+
     def merge_warm_objects(self, warm_objects: Iterable[WarmObject]) -> None:
         """Merge another VM's report of the objects for which targets are warm."""
         names = self._target_names()
@@ -271,6 +292,24 @@
         """Return the number of VMs among which fleet-wide budgets are divided."""
         return self.peers.sharing(self.settings.regions)
 
+    def _service_load(self, name: str, now: timedelta) -> ServiceLoad:
+        service = self.service(name)
+        rate = service.rate(now) + self._rates.total(short_hash(name))
+        return ServiceLoad(rate / max(1, len(self.targets.ready(name))), service.growth(now))
+
+    def _fleet_view(self) -> FleetView:
+        """Return the number of VMs and the longest interval of what they tell this VM."""
+        intervals = [peer.timing.interval for peer in self.peers.domain_peers]
+        intervals += [domain.timing.interval for domain in self.peers.remote_domains]
+        return FleetView(self.sharing(), max(intervals, default=timedelta()))
+
+    def _dump_limit(self, target: RegisteredTarget, now: timedelta) -> dict[str, Any]:
+        limit = self.target_limits.limit(target, self._service_load(target.service, now), now)
+        if limit is None:
+            return {}
+        age_ms = int(limit.age * 1000)
+        return {"limit": {"rate": limit.rate, "age_ms": age_ms, "share": round(limit.share, 4)}}
+
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON-serializable values for the state dump."""
         now = self.clock.now()
@@ -301,6 +340,7 @@
                     "slots": target.slots,
                     "slowness": round(self.stats(target.name).slowness, 2),
                     "failure_rate": round(self.stats(target.name).failure_rate, 2),
+                    **self._dump_limit(target, now),
                 }
                 for target in self.targets
             },
--- a/packages/gateway/src/carawayquay_gateway/summaries.py
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -183,6 +183,7 @@
             rates=tuple(ServiceRate(code, rate) for code, rate in rates.items()),
             crashes=self._crashes.reports(now),
             warmed=self._warm_objects.current(now),
+            limits=state.target_limits.domain_reports(now),
         )
 
     def _handle_datagram(self, data: bytes, host: str) -> None:
@@ -201,6 +202,7 @@
             return
         self._crashes.merge(summary.crashes, now)
         state.merge_warm_objects(summary.warmed)
+        state.limit_recorder.merge_summary(summary)
         self._relay(data, summary.sender.domain, host, domain_peers, now)
 
     def _relay(
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -125,6 +125,7 @@
         finally:
             stats.running -= 1
         answer = headers.parse_response(response)
+        self._state.limit_recorder.record(target, answer, started)
         await self._record_answer(target, answer)
         return Answered(answer, (self._state.clock.now() - started).total_seconds())
 
--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -78,6 +78,10 @@
                 return value.decode("latin-1")
         return None
 
+    def values(self, name: bytes) -> list[str]:
+        """Return the values of all headers with a name, given in lower case."""
+        return [value.decode("latin-1") for key, value in self.headers if key.lower() == name]
+
     def json(self) -> Any:
         """Parse the body as JSON.
 
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from importlib import resources
 from itertools import starmap
@@ -20,6 +21,7 @@
     LoadReport,
     ServiceRate,
     TargetCount,
+    TargetLimitReport,
     VMIdentity,
     WarmObject,
 )
@@ -46,9 +48,16 @@
 _TARGET_COUNT = struct.Struct("<IH")
 _SERVICE_RATE = struct.Struct("<If")
 _WARM_OBJECT = struct.Struct("<II")
+_TARGET_LIMIT = struct.Struct("<IfHe")
 #: Upper bounds of the fields' integer types; larger counts are sent as the bound.
 _MAX_RUNNING = 65_535
 _MAX_CRASHES = 255
+_MAX_AGE_UNITS = 65_535
+_MAX_DEMAND = 65_000.0
+
+#: Unit of a limit's age, and the rate that stands for a limit that has ended.
+_AGE_UNIT_SECONDS = 0.01
+_ENDED = -1.0
 
 
 def encode_report(report: LoadReport) -> bytes:
@@ -114,6 +123,8 @@
         ],
         "members": [_identity_fields(member) for member in message.members],
         "warmed": b"".join(_WARM_OBJECT.pack(item.target, item.key) for item in message.warmed),
+        "limits": b"".join(map(_pack_limit, message.limits or ())),
+        "limitsReported": message.limits is not None,
     }
 
 
@@ -128,6 +139,9 @@
         "crashes": tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
         "members": tuple(_read_identity(item) for item in reader.members),
         "warmed": _unpack(_WARM_OBJECT, WarmObject, reader.warmed),
+        "limits": (
+            _unpack(_TARGET_LIMIT, _read_limit, reader.limits) if reader.limitsReported else None
+        ),
     }
 
 
@@ -144,6 +158,22 @@
     return tuple(starmap(item_type, item_struct.iter_unpack(data)))
 
 
+def _pack_limit(report: TargetLimitReport) -> bytes:
+    rate = _ENDED if report.rate is None else report.rate
+    age = min(int(report.age / _AGE_UNIT_SECONDS), _MAX_AGE_UNITS)
+    return _TARGET_LIMIT.pack(report.target, rate, age, min(report.demand, _MAX_DEMAND))
+
+
+def _read_limit(target: int, rate: float, age: int, demand: float) -> TargetLimitReport:
+    """Return a limit from its packed fields.
+
+    :raises ValueError: if a rate is not a finite number, or the demand is negative
+    """
+    if not (math.isfinite(rate) and math.isfinite(demand) and demand >= 0):
+        raise ValueError(f"limit {rate} with demand {demand} is not valid")
+    return TargetLimitReport(target, rate if rate >= 0 else None, age * _AGE_UNIT_SECONDS, demand)
+
+
 def _identity_fields(identity: VMIdentity) -> dict[str, Any]:
     return {
         "name": identity.name,
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -25,6 +25,8 @@
   warmed @8 :Data;  # little-endian pairs: hash of target (UInt32), hash of object key (UInt32)
   watching @9 :Bool;
   asking @10 :Bool;
+  limits @11 :Data;  # see TargetLimitReport
+  limitsReported @12 :Bool;
 }
 
 struct DomainSummary {
@@ -37,4 +39,10 @@
   rates @6 :Data;  # little-endian pairs: hash of service (UInt32), requests per second (Float32)
   crashes @7 :List(CrashReport);
   warmed @8 :Data;  # little-endian pairs: hash of target (UInt32), hash of object key (UInt32)
+  limits @9 :Data;  # see TargetLimitReport
+  limitsReported @10 :Bool;
 }
+
+# Items of limits are little-endian: hash of target and incarnation (UInt32), limit in requests per
+# second (Float32, -1 if it ended), age in units of 10 ms (UInt16), demand in requests per second
+# (Float16). A message without limitsReported comes from a version that does not report them.
--- a/standins/tests/recorded_values.py
+++ b/standins/tests/recorded_values.py
@@ -23,6 +23,7 @@
 from unittest import mock
 
 import attrs
+import capnp
 import curio
 import gateway_builders
 from caller_builders import FakeSteering, caller_api, post
@@ -301,6 +302,12 @@
     return (_FOLDER / name).read_text()
 
 
+def reports_before_limits() -> dict[str, Any]:
+    """Return the schemas of reports and summaries of the build before these carried limits."""
+    schema = capnp.load(str(_FOLDER / "reports_before_limits.capnp"))
+    return {"LoadReport": schema.LoadReport, "DomainSummary": schema.DomainSummary}
+
+
 def plain(value: Any) -> Any:
     """Return a value as JSON types, with an instance as a list of its fields in declared order."""
     if attrs.has(type(value)):
