--- a/packages/wire/tests/test_reports.py
+++ b/packages/wire/tests/test_reports.py
@@ -18,9 +18,11 @@
     LoadReport,
     ServiceRate,
     TargetCount,
+    TargetLimitReport,
     VMIdentity,
     WarmObject,
 )
+from carawayquay_wire import reports
 from carawayquay_wire.reports import decode_report, decode_summary, encode_report, encode_summary
 
 SENDER = VMIdentity("puget-a-1", "10.0.0.1", "puget-a", "puget", 1764835200000)
@@ -135,3 +137,32 @@
     read = version(tmp_path).from_bytes_packed(encode_report(report))
     assert (read.sender.name, read.sequence, list(read.revisions)) == (SENDER.name, 7, [530, 0, 12])
     assert len(read.targets) == 6
+
+
+LIMIT_REPORTS = st.builds(
+    TargetLimitReport,
+    UINT32,
+    st.none() | st.floats(0, 1e9, width=32),
+    st.integers(0, 60_000).map(lambda units: units * 0.01),
+    st.floats(0, 60_000, width=16),
+)
+
+
+@given(limits=st.none() | st.lists(LIMIT_REPORTS, max_size=9).map(tuple))
+def test_limits_round_trip_and_a_sender_that_reports_none_is_recognized(limits):
+    read = decode_report(encode_report(_report(limits=limits))).limits
+    assert (read is None) == (limits is None)
+    for found, sent in zip(read or (), limits or (), strict=True):
+        assert (found.target, found.rate, found.demand) == (sent.target, sent.rate, sent.demand)
+        assert found.age == pytest.approx(sent.age, abs=0.011)
+
+
+@pytest.mark.parametrize("demand", [float("nan"), float("inf"), -1.0])
+def test_report_with_an_impossible_demand_is_rejected(demand):
+    encoded = encode_report(_report(limits=(TargetLimitReport(1, 2.0, 0.0, 1.0),)))
+    valid = reports._TARGET_LIMIT.pack(1, 2.0, 0, 1.0)
+    message = reports._SCHEMA.LoadReport.from_bytes_packed(encoded).as_builder()
+    assert message.limits == valid
+    message.limits = reports._TARGET_LIMIT.pack(1, 2.0, 0, demand)
+    with pytest.raises(FrameError):
+        decode_report(message.to_bytes_packed())
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from carawayquay.errors import ErrorKind
-from carawayquay.forwarding import TargetLoad
+from carawayquay.forwarding import LimitAbsent, LimitNamed, LimitUnreadable, TargetLoad
 from carawayquay_platform import headers
 from carawayquay_wire.http import HttpRequest, HttpResponse
 
@@ -95,3 +95,28 @@
     answer = headers.refusal_response(ErrorKind.OVERLOADED, 503, "r1", 0.25)
     assert dict(answer.headers).keys() == {b"content-type", b"request-id", b"retry-after"}
     assert answer.header(b"retry-after") == "0.250"
+
+
+def _limit(*texts):
+    pairs = tuple((b"Server-Limit", text) for text in texts)
+    return headers.parse_response(HttpResponse(503, pairs)).limit
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"), [(b"7.4", 7.4), (b" 12 ", 12.0), (b"0", 0.0), (b".5", 0.5), (b"9" * 40, 1e9)]
+)
+def test_limit_is_read(text, rate):
+    assert _limit(text) == LimitNamed(rate)
+
+
+def test_answer_without_the_header_names_no_limit():
+    assert _limit() == LimitAbsent()
+
+
+def test_strictest_of_several_limits_counts():
+    assert _limit(b"9", b"3.5") == LimitNamed(3.5)
+
+
+@pytest.mark.parametrize("text", [b"", b"few", b"-1", b"nan", b"inf", b"1e3", b"1_0", b"5, 7"])
+def test_limit_that_is_no_decimal_number_is_unreadable(text):
+    assert _limit(text) == LimitUnreadable(text.decode())
