Admit requests of higher priority first where a target's limit is reached

Callers of urgent routes would have been refused as often as others of the same service: the priority of a route was read and used nowhere in the gateway. Half of a limit's share goes to all alike, so that no priority is starved, and half by priority. Each VM goes by the mix of its own requests, so nothing more is told.

Measured: two priorities of equal rate at limits of a fifth of the demand; the higher one gets over twice as much, the lower one over a quarter of the mean (test_limited_selection.py).

--- a/packages/core/src/carawayquay/target_limits.py
+++ b/packages/core/src/carawayquay/target_limits.py
@@ -16,6 +16,7 @@
 from carawayquay.decaying_rate import DecayingRate
 from carawayquay.fleet_demand import FleetDemand
 from carawayquay.load_reports import TargetLimitReport, short_hash
+from carawayquay.priority_mix import PriorityFractions
 
 if TYPE_CHECKING:
     from random import Random
@@ -77,7 +78,7 @@
 
     :param rate: requests/s that the target takes from all VMs together
     :param age: seconds since the target's last answer that this or another VM reported
-    :param share: fraction of this VM's requests for the target that are sent, 0 to 1
+    :param share: fraction of this VM's requests of one priority for the target that are sent
     """
 
     rate: float
@@ -123,10 +124,12 @@
 
     :param mean_demand: requests/s of all VMs for the service, divided by the number of its targets
     :param growth: latest rate of this VM's requests relative to that of the last seconds, from 1
+    :param fractions: place of the request's priority among the requests for the service
     """
 
     mean_demand: float = 0.0
     growth: float = 1.0
+    fractions: PriorityFractions = attrs.field(factory=PriorityFractions)
 
 
 @attrs.define
@@ -211,8 +214,7 @@
         known = self._targets.get(key)
         if rate is None and (known is None or known.rate is None):
             return None
-        if known is None:
-            known = self._add(key)
+        known = self._known(key)
         if not _relaxes(rate, known.rate):
             return known.set_rate(rate, now, now)
         if known.heard_at is not None and sent_at <= known.heard_at:
@@ -227,26 +229,26 @@
         known = self._targets.get(report.target)
         if report.rate is None and (known is None or known.rate is None):
             return None
-        if known is None:
-            known = self._add(report.target)
+        known = self._known(report.target)
         heard_at = now - age
         if known.heard_at is not None and heard_at <= known.heard_at:
             return None
         return known.set_rate(report.rate, heard_at, now)
 
+    def count_request(self, target: RegisteredTarget, now: timedelta) -> None:
+        """Count a request that is sent to a target without a limit."""
+        self._known(limit_key(target)).demand.count(now)
+
     def admit(
         self, target: RegisteredTarget, load: ServiceLoad, now: timedelta
     ) -> LimitReached | None:
-        """Count a request for a target; return the limit if it must not be sent there."""
+        """Count a request for a target; return the target's limit if it must not be sent there."""
         key = limit_key(target)
-        known = self._targets.get(key)
-        if known is None:
-            known = self._add(key)
-        if known.rate is None:
-            known.demand.count(now)
-            return None
-        limit = self._limit(key, known, load, now)
+        known = self._known(key)
+        limit = None if known.rate is None else self._limit(key, known, load, now)
         known.demand.count(now)
+        if limit is None:
+            return None
         known.credit += limit.share
         if known.credit < 1.0:
             return LimitReached(target.name, limit)
@@ -304,14 +306,17 @@
         for key in [key for key, known in self._targets.items() if _expired(known, now)]:
             del self._targets[key]
 
-    def _add(self, key: int) -> _Target:
-        known = self._targets[key] = _Target(self._random.random())
+    def _known(self, key: int) -> _Target:
+        """Return what is known of a target, with nothing known on first use."""
+        known = self._targets.get(key)
+        if known is None:
+            known = self._targets[key] = _Target(self._random.random())
         return known
 
     def _limit(self, key: int, known: _Target, load: ServiceLoad, now: timedelta) -> TargetLimit:
         demand = load.growth * self._total_demand(key, known, load.mean_demand, now)
         share = min(1.0, _admitted_rate(known.rate) / max(demand, _NEGLIGIBLE_DEMAND))
-        return TargetLimit(known.rate, known.age(now), share)
+        return TargetLimit(known.rate, known.age(now), load.fractions.share(share))
 
     def _total_demand(self, key: int, known: _Target, mean_demand: float, now: timedelta) -> float:
         """Return the demand of all VMs for a target, in requests/s.
--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_target_limits.py
@@ -164,7 +164,7 @@
     limits = _limits()
     targets = [new_target(f"t{index}") for index in range(3000)]
     for target in targets:
-        limits.admit(target, ServiceLoad(), _seconds(1))
+        limits.count_request(target, _seconds(1))
         limits.record(target, 5.0, _seconds(1), _seconds(1))
     reported = [{report.target for report in limits.reports(_seconds(1))} for _ in range(50)]
     assert max(map(len, reported)) <= 64
@@ -217,7 +217,7 @@
 def test_reached_limit_says_how_old_it_is_and_what_share_is_sent():
     limits = _limits(vms=10)
     for tenth in range(20):
-        limits.admit(new_target(), ServiceLoad(), _seconds(1 + tenth / 10))
+        limits.count_request(new_target(), _seconds(1 + tenth / 10))
     _record(limits, 2.0, 3, 3)
     reached = [limits.admit(new_target(), ServiceLoad(), _seconds(4)) for _ in range(5)]
     found = next(item for item in reached if item is not None)
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -118,7 +118,7 @@
                 call, ErrorKind.UNREAD_ROUTE, reason, _UNREAD_ROUTE_RETRY
             )
         service = self._service_choice(route).next()
-        state.service(service).count_request(now)
+        state.service(service).count_request(now, route.priority)
         self._selection.count_request()
         remaining = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
         deadline = now + remaining - _ANSWER_MARGIN
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -149,7 +149,7 @@
             if budget is not None and not budget.take(now):
                 return NoCapacity(chosen.wait, reached)
             budget = None
-            limit = self._state.admit(chosen.target, now)
+            limit = self._state.admit(chosen.target, request.route.priority, now)
             if limit is None:
                 return attrs.evolve(chosen, limit_reached=reached)
             reached = limit if reached is None or limit.wait < reached.wait else reached
--- a/packages/gateway/src/carawayquay_gateway/service_state.py
+++ b/packages/gateway/src/carawayquay_gateway/service_state.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from carawayquay.local_share import LocalShare
+from carawayquay.priority_mix import PriorityMix
 from carawayquay.retry_budget import RetryBudget
 from carawayquay.target_stats import ServiceTimes
 
@@ -33,14 +34,19 @@
     def __init__(self, settings: GatewaySettings) -> None:
         self.times = ServiceTimes()
         self.local_share = LocalShare()
+        self.priorities = PriorityMix()
         self.retries = RetryBudget(
             settings.retry_window, settings.retry_ratio, settings.retry_allowance
         )
         self._arrivals: deque[timedelta] = deque()
         self._mean_in_flight = 0.0
 
-    def count_request(self, now: timedelta) -> None:
-        """Count a caller's request."""
+    def count_request(self, now: timedelta, priority: int = 0) -> None:
+        """Count a caller's request.
+
+        :param priority: that of its route, 0 the highest
+        """
+        self.priorities.count(priority, now)
         self._arrivals.append(now)
         self.retries.count_request(now)
 
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -6,6 +6,8 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from carawayquay.cold_rates import ColdRateLimit, ColdRequestRates
 from carawayquay.discovery import TargetRegistry
 from carawayquay.entry_peers import EntryPeers, RegionRates
@@ -160,9 +162,17 @@
             return True
         return self.cold_rates.has_room(target.name, self._cold_rate_share(target, now), now)
 
-    def admit(self, target: RegisteredTarget, now: timedelta) -> LimitReached | None:
-        """Count a request for a target; return the target's limit if it must not be sent there."""
-        reached = self.target_limits.admit(target, self._service_load(target.service, now), now)
+    def admit(self, target: RegisteredTarget, priority: int, now: timedelta) -> LimitReached | None:
+        """Count a request for a target; return the target's limit if it must not be sent there.
+
+        :param priority: that of the request's route, 0 the highest
+        """
+        if self.target_limits.usable_rate(target) is None:
+            self.target_limits.count_request(target, now)
+            return None
+        fractions = self.service(target.service).priorities.fractions(priority, now)
+        load = attrs.evolve(self._service_load(target.service, now), fractions=fractions)
+        reached = self.target_limits.admit(target, load, now)
         if reached is not None:
             self.metrics.count("requests_limited_total", service=target.service)
         return reached
--- a/packages/gateway/tests/test_limited_selection.py
+++ b/packages/gateway/tests/test_limited_selection.py
@@ -108,5 +108,22 @@
         clock.advance(timedelta(milliseconds=10))
 
 
+def test_requests_of_higher_priority_come_first_and_others_are_not_starved():
+    state, clock = _limited_state([name for name, _ in _targets()])
+    selection = new_selection(state)
+    routes = {priority: _route(priority=priority) for priority in (0, 3)}
+    admitted = Counter()
+    for index in range(2000):
+        state.update(clock.now())
+        selection.count_request()
+        priority = (0, 3)[index % 2]
+        state.service("granite").count_request(clock.now(), priority)
+        selected = selection.select(routes[priority], "granite", f"k{index % 40}", 0.0, 1.0)
+        admitted[priority] += _placed(selected)
+        clock.advance(timedelta(milliseconds=20))
+    assert admitted[0] > 2 * admitted[3]
+    assert admitted[3] >= (admitted[0] + admitted[3]) / 2 / 4
+
+
 def _placed(result):
     return isinstance(result, Placement)
