--- a/packages/core/src/carawayquay/fleet_demand.py
+++ b/packages/core/src/carawayquay/fleet_demand.py
@@ -15,7 +15,7 @@
 __all__ = ["FleetDemand"]
 
 #: Time for which a reported demand is kept; reports that are full carry each target in turn.
-_DEMAND_LIFETIME = timedelta(seconds=8)
+_DEMAND_LIFETIME = timedelta(seconds=10)
 
 
 @attrs.frozen
--- a/packages/core/src/carawayquay/target_limits.py
+++ b/packages/core/src/carawayquay/target_limits.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import enum
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -16,16 +15,17 @@
 from carawayquay.decaying_rate import DecayingRate
 from carawayquay.fleet_demand import FleetDemand
 from carawayquay.load_reports import TargetLimitReport, short_hash
+from carawayquay.named_limit import MAX_REPORTED_AGE, NamedLimit
 from carawayquay.priority_mix import PriorityFractions
 
 if TYPE_CHECKING:
     from random import Random
 
     from carawayquay.discovery import RegisteredTarget
+    from carawayquay.named_limit import LimitChange
 
 __all__ = [
     "FleetView",
-    "LimitChange",
     "LimitReached",
     "ServiceLoad",
     "TargetLimit",
@@ -40,6 +40,9 @@
 #: one; only an answer can tell.
 _PROBE_RATE = 0.2
 
+#: Lower bound in requests/s of the admission rate from which a waiting time is derived.
+_MIN_ADMISSION_RATE = 0.01
+
 #: Time constant of the demand for a target.
 _DEMAND_TIME = timedelta(seconds=2)
 
@@ -52,24 +55,15 @@
 #: Report intervals in which the demand of every VM has reached all others.
 _LEARNING_INTERVALS = 2
 
-#: Age at which what a target said is no longer taken from other VMs, so that an old limit cannot
-#: come back; the end of a limit is remembered for longer.
-_MAX_REPORTED_AGE = timedelta(seconds=8)
-_ENDED_LIFETIME = timedelta(seconds=12)
+#: Time for which the end of a limit is remembered, longer than old reports of it are taken.
+_ENDED_LIFETIME = MAX_REPORTED_AGE + timedelta(seconds=4)
 
 #: Time after which a limit is forgotten whose target has no demand any more.
 _UNUSED_LIFETIME = timedelta(seconds=120)
 
 #: Maximum number of targets in one report, and in one summary of a domain.
 _MAX_REPORTED_TARGETS = 64
-_MAX_SUMMARY_TARGETS = 256
-
-
-class LimitChange(enum.Enum):
-    """What an answer or a report changed about the limit of a target."""
-
-    NAMED = "named"
-    ENDED = "ended"
+_MAX_SUMMARY_TARGETS = 128
 
 
 @attrs.frozen
@@ -102,10 +96,6 @@
         return 1.0 / max(self.limit.rate * self.limit.share, _MIN_ADMISSION_RATE)
 
 
-#: Lower bound in requests/s of the admission rate from which a waiting time is derived.
-_MIN_ADMISSION_RATE = 0.01
-
-
 @attrs.frozen
 class FleetView:
     """What a VM knows about the other VMs.
@@ -134,35 +124,33 @@
 
 @attrs.define
 class _Target:
-    """Demand for one incarnation of a target, and the limit that it named.
+    """The demand of this VM for one incarnation of a target, and the limit that it named.
 
     :param credit: sum of the shares of the requests that were not sent; one is sent at 1
-    :param rate: the limit in requests/s, or None without a limit
-    :param heard_at: when the last answer that counts arrived, or None before the first limit
-    :param limited_since: when the present limit was first heard
     """
 
     credit: float
     demand: DecayingRate = attrs.field(factory=lambda: DecayingRate(_DEMAND_TIME))
-    rate: float | None = None
-    heard_at: timedelta | None = None
-    limited_since: timedelta = timedelta()
+    limit: NamedLimit = attrs.field(factory=NamedLimit)
 
-    def age(self, now: timedelta) -> float:
-        """Return the seconds since the last answer that counts."""
-        return (now - self.heard_at).total_seconds()
 
-    def set_rate(
-        self, rate: float | None, heard_at: timedelta, now: timedelta
-    ) -> LimitChange | None:
-        """Set the limit that an answer named, or its end."""
-        before, self.rate, self.heard_at = self.rate, rate, heard_at
-        if before is None and rate is not None:
-            self.limited_since = now
-            return LimitChange.NAMED
-        if before is not None and rate is None:
-            return LimitChange.ENDED
-        return None
+class _Rotation:
+    """Takes a bounded number of items from a list, in turn from call to call.
+
+    :param most: maximum number of items to take
+    """
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._offset = 0
+
+    def take(self, items: list[TargetLimitReport]) -> tuple[TargetLimitReport, ...]:
+        """Return as many items as fit; those left out come first in the next call."""
+        if len(items) <= self._most:
+            return tuple(items)
+        start = self._offset % len(items)
+        self._offset = start + self._most
+        return tuple((items + items)[start : start + self._most])
 
 
 class TargetLimits:
@@ -182,7 +170,8 @@
         self._fleet = FleetView()
         self._unheard_vms = 0
         self._learning_time = _LEARNING_TIME
-        self._report_offset = 0
+        self._reported = _Rotation(_MAX_REPORTED_TARGETS)
+        self._summarized = _Rotation(_MAX_SUMMARY_TARGETS)
 
     @property
     def domain_demand(self) -> FleetDemand:
@@ -197,43 +186,21 @@
     @property
     def limited(self) -> int:
         """The number of targets whose limit is in force."""
-        return sum(target.rate is not None for target in self._targets.values())
+        return sum(known.limit.rate is not None for known in self._targets.values())
 
     def record(
         self, target: RegisteredTarget, rate: float | None, sent_at: timedelta, now: timedelta
     ) -> LimitChange | None:
         """Record the limit that a target's answer names.
 
-        Answers overtake each other: one to a request that was sent before the limit was last heard
-        may make the limit stricter, but neither raise nor end it.
-
         :param rate: requests/s of all VMs together, or None if the answer names no limit
         :param sent_at: when the request was sent
         """
-        key = limit_key(target)
-        known = self._targets.get(key)
-        if rate is None and (known is None or known.rate is None):
-            return None
-        known = self._known(key)
-        if not _relaxes(rate, known.rate):
-            return known.set_rate(rate, now, now)
-        if known.heard_at is not None and sent_at <= known.heard_at:
-            return None
-        return known.set_rate(rate, sent_at, now)
+        return self._known(limit_key(target)).limit.hear_answer(rate, sent_at, now)
 
     def merge(self, report: TargetLimitReport, now: timedelta) -> LimitChange | None:
         """Take what another VM heard from a target, if it is newer than what is known here."""
-        age = timedelta(seconds=report.age)
-        if age > _MAX_REPORTED_AGE:
-            return None
-        known = self._targets.get(report.target)
-        if report.rate is None and (known is None or known.rate is None):
-            return None
-        known = self._known(report.target)
-        heard_at = now - age
-        if known.heard_at is not None and heard_at <= known.heard_at:
-            return None
-        return known.set_rate(report.rate, heard_at, now)
+        return self._known(report.target).limit.hear_report(report.rate, report.age, now)
 
     def count_request(self, target: RegisteredTarget, now: timedelta) -> None:
         """Count a request that is sent to a target without a limit."""
@@ -245,7 +212,7 @@
         """Count a request for a target; return the target's limit if it must not be sent there."""
         key = limit_key(target)
         known = self._known(key)
-        limit = None if known.rate is None else self._limit(key, known, load, now)
+        limit = None if known.limit.rate is None else self._limit(key, known, load, now)
         known.demand.count(now)
         if limit is None:
             return None
@@ -261,36 +228,34 @@
         """Return the limit of a target that is in force, or None."""
         key = limit_key(target)
         known = self._targets.get(key)
-        if known is None or known.rate is None:
+        if known is None or known.limit.rate is None:
             return None
         return self._limit(key, known, load, now)
 
     def usable_rate(self, target: RegisteredTarget) -> float | None:
         """Return the requests/s that all VMs may send to a target, None without a limit."""
         known = self._targets.get(limit_key(target))
-        return None if known is None or known.rate is None else _admitted_rate(known.rate)
+        if known is None or known.limit.rate is None:
+            return None
+        return _admitted_rate(known.limit.rate)
 
     def reports(self, now: timedelta) -> tuple[TargetLimitReport, ...]:
         """Return the limited targets for which this VM has demand, for a load report."""
         reports = [
-            TargetLimitReport(key, known.rate, known.age(now), known.demand.at(now))
+            _report(key, known.limit, known.demand.at(now), now)
             for key, known in self._reportable(now)
         ]
-        wanted = [report for report in reports if report.demand > _NEGLIGIBLE_DEMAND]
-        return self._in_turn(wanted, _MAX_REPORTED_TARGETS)
+        return self._reported.take([it for it in reports if it.demand > _NEGLIGIBLE_DEMAND])
 
     def domain_reports(self, now: timedelta) -> tuple[TargetLimitReport, ...]:
         """Return all limited targets, with the demand of the failure domain, for its summary."""
         reports = [
-            TargetLimitReport(
-                key,
-                known.rate,
-                known.age(now),
-                known.demand.at(now) + self._domain_demand.rate(key, now),
+            _report(
+                key, known.limit, known.demand.at(now) + self._domain_demand.rate(key, now), now
             )
             for key, known in self._reportable(now)
         ]
-        return self._in_turn(reports, _MAX_SUMMARY_TARGETS)
+        return self._summarized.take(reports)
 
     def update(self, fleet: FleetView, now: timedelta) -> None:
         """Apply the present view of the fleet, and drop what has expired."""
@@ -315,8 +280,9 @@
 
     def _limit(self, key: int, known: _Target, load: ServiceLoad, now: timedelta) -> TargetLimit:
         demand = load.growth * self._total_demand(key, known, load.mean_demand, now)
-        share = min(1.0, _admitted_rate(known.rate) / max(demand, _NEGLIGIBLE_DEMAND))
-        return TargetLimit(known.rate, known.age(now), load.fractions.share(share))
+        rate = known.limit.rate
+        share = min(1.0, _admitted_rate(rate) / max(demand, _NEGLIGIBLE_DEMAND))
+        return TargetLimit(rate, known.limit.age(now), load.fractions.share(share))
 
     def _total_demand(self, key: int, known: _Target, mean_demand: float, now: timedelta) -> float:
         """Return the demand of all VMs for a target, in requests/s.
@@ -327,28 +293,16 @@
         others = self._domain_demand.rate(key, now) + self._remote_demand.rate(key, now)
         assumed = max(own, mean_demand / self._fleet.vms)
         total = own + others + assumed * self._unheard_vms
-        if now - known.limited_since < self._learning_time:
+        if now - known.limit.since < self._learning_time:
             return max(total, assumed * self._fleet.vms)
         return total
 
-    def _reportable(self, now: timedelta) -> list[tuple[int, _Target]]:
-        """Return the targets that other VMs have to know about, by key."""
-        return [
-            (key, known)
-            for key, known in self._targets.items()
-            if known.heard_at is not None
-            and (known.rate is not None or now - known.heard_at < _MAX_REPORTED_AGE)
-        ]
+    def _demand_of_domain(self, key: int, known: _Target, now: timedelta) -> float:
+        return known.demand.at(now) + self._domain_demand.rate(key, now)
 
-    def _in_turn(
-        self, reports: list[TargetLimitReport], most: int
-    ) -> tuple[TargetLimitReport, ...]:
-        """Return as many reports as fit; those left out come first in the next call."""
-        if len(reports) <= most:
-            return tuple(reports)
-        start = self._report_offset % len(reports)
-        self._report_offset += most
-        return tuple((reports + reports)[start : start + most])
+    def _reportable(self, now: timedelta) -> list[tuple[int, _Target]]:
+        """Return the targets about whose limit other VMs have to know, by key."""
+        return [(key, known) for key, known in self._targets.items() if known.limit.reportable(now)]
 
 
 def limit_key(target: RegisteredTarget) -> int:
@@ -356,11 +310,8 @@
     return short_hash(f"{target.name}/{target.incarnation}")
 
 
-def _relaxes(rate: float | None, known: float | None) -> bool:
-    """Return whether a limit is less strict than the known one."""
-    if known is None:
-        return False
-    return rate is None or rate > known
+def _report(key: int, limit: NamedLimit, demand: float, now: timedelta) -> TargetLimitReport:
+    return TargetLimitReport(key, limit.rate, limit.age(now), demand)
 
 
 def _admitted_rate(rate: float) -> float:
@@ -372,7 +323,8 @@
     """Return whether a target has neither demand nor a limit that other VMs may still hold."""
     if known.demand.at(now) > _NEGLIGIBLE_DEMAND:
         return False
-    if known.heard_at is None:
+    heard_at = known.limit.heard_at
+    if heard_at is None:
         return True
-    lifetime = _ENDED_LIFETIME if known.rate is None else _UNUSED_LIFETIME
-    return now - known.heard_at > lifetime
+    lifetime = _ENDED_LIFETIME if known.limit.rate is None else _UNUSED_LIFETIME
+    return now - heard_at > lifetime
--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_target_limits.py
@@ -9,9 +9,9 @@
 from limit_fleet import LimitFleet, new_target
 
 from carawayquay.load_reports import TargetLimitReport
+from carawayquay.named_limit import LimitChange
 from carawayquay.target_limits import (
     FleetView,
-    LimitChange,
     ServiceLoad,
     TargetLimits,
     limit_key,
@@ -169,7 +169,7 @@
     reported = [{report.target for report in limits.reports(_seconds(1))} for _ in range(50)]
     assert max(map(len, reported)) <= 64
     assert set.union(*reported) == {limit_key(target) for target in targets}
-    assert len(limits.domain_reports(_seconds(1))) <= 256
+    assert len(limits.domain_reports(_seconds(1))) <= 128
 
 
 def _limits(vms=1):
--- a/packages/gateway/src/carawayquay_gateway/admin.py
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from carawayquay_gateway.state_dump import dump_state
 from carawayquay_platform.own_endpoints import READY_PATH, parse_listing_kind, parse_watch_revision
 from carawayquay_platform.store import list_response_body, watch_response_body
 from carawayquay_wire.http import HttpResponse, json_response
@@ -41,7 +42,7 @@
                 text = self._state.metrics.exposition().encode()
                 return HttpResponse(200, ((b"content-type", b"text/plain"),), text)
             case "/dump":
-                return json_response(200, self._state.dump())
+                return json_response(200, dump_state(self._state))
             case path:
                 return self._objects(parse_listing_kind(path), parse_watch_revision(request.target))
 
--- a/packages/gateway/src/carawayquay_gateway/limit_recorder.py
+++ b/packages/gateway/src/carawayquay_gateway/limit_recorder.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from carawayquay.forwarding import LimitAbsent, LimitNamed, LimitUnreadable
-from carawayquay.target_limits import LimitChange, limit_key
+from carawayquay.named_limit import LimitChange
+from carawayquay.target_limits import limit_key
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
--- a/packages/gateway/src/carawayquay_gateway/service_state.py
+++ b/packages/gateway/src/carawayquay_gateway/service_state.py
@@ -16,7 +16,10 @@
 if TYPE_CHECKING:
     from carawayquay_gateway.settings import GatewaySettings
 
-__all__ = ["ServiceState"]
+__all__ = ["ASSUMED_LATENCY", "ServiceState"]
+
+#: Assumed service time in seconds before the first answer of a service.
+ASSUMED_LATENCY = 0.3
 
 #: Sliding window for the request rate.
 _RATE_WINDOW = timedelta(seconds=3)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -14,12 +14,12 @@
 from carawayquay.idle_timeouts import IdleTimeouts
 from carawayquay.load_reports import short_hash
 from carawayquay.local_share import RegionLoad
-from carawayquay.target_limits import FleetView, LimitReached, ServiceLoad, TargetLimits
+from carawayquay.target_limits import FleetView, ServiceLoad, TargetLimits
 from carawayquay.target_stats import TargetStats
 from carawayquay.warm_objects import WarmObjects
 from carawayquay_gateway.limit_recorder import LimitRecorder
 from carawayquay_gateway.object_applier import ObjectApplier
-from carawayquay_gateway.service_state import ServiceState
+from carawayquay_gateway.service_state import ASSUMED_LATENCY, ServiceState
 from carawayquay_gateway.ticker import Ticker
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_wire.events import Event, EventLog
@@ -32,6 +32,7 @@
     from carawayquay.load_reports import VMIdentity, WarmObject
     from carawayquay.remarks import Remark
     from carawayquay.routes import Configuration
+    from carawayquay.target_limits import LimitReached, TargetLimit
     from carawayquay_gateway.settings import GatewaySettings
     from carawayquay_wire.metrics import Metrics
 
@@ -55,9 +56,6 @@
 #: Time after the start in which this VM discovers every reachable domain.
 _DISCOVERY_TIME = timedelta(seconds=5)
 
-#: Assumed work time in seconds before the first answer of a service.
-_ASSUMED_LATENCY = 0.3
-
 
 class GatewayState:
     """State that is shared by the components of a gateway."""
@@ -229,7 +227,7 @@
         near = [target for target in usable if target.region == region]
         code = short_hash(name)
         own_rate = service.rate(now)
-        work = service.times.mean(_ASSUMED_LATENCY)
+        work = service.times.mean(ASSUMED_LATENCY)
         demand = work * (own_rate + self._rates.of(region, code))
         in_flight = service.smooth_in_flight(
             sum(self._in_flight_at(target.name, now) for target in near)
@@ -302,6 +300,10 @@
         """Return the number of VMs among which fleet-wide budgets are divided."""
         return self.peers.sharing(self.settings.regions)
 
+    def limit(self, target: RegisteredTarget, now: timedelta) -> TargetLimit | None:
+        """Return the limit that a target named, with the mean share of this VM's requests."""
+        return self.target_limits.limit(target, self._service_load(target.service, now), now)
+
     def _service_load(self, name: str, now: timedelta) -> ServiceLoad:
         service = self.service(name)
         rate = service.rate(now) + self._rates.total(short_hash(name))
@@ -312,56 +314,3 @@
         intervals = [peer.timing.interval for peer in self.peers.domain_peers]
         intervals += [domain.timing.interval for domain in self.peers.remote_domains]
         return FleetView(self.sharing(), max(intervals, default=timedelta()))
-
-    def _dump_limit(self, target: RegisteredTarget, now: timedelta) -> dict[str, Any]:
-        limit = self.target_limits.limit(target, self._service_load(target.service, now), now)
-        if limit is None:
-            return {}
-        age_ms = int(limit.age * 1000)
-        return {"limit": {"rate": limit.rate, "age_ms": age_ms, "share": round(limit.share, 4)}}
-
-    def dump(self) -> dict[str, Any]:
-        """Return the state as JSON-serializable values for the state dump."""
-        now = self.clock.now()
-        return {
-            "vm": self.identity.name,
-            "stopping": self.stopping,
-            "configuration": self.configuration.version if self.configuration else None,
-            "remarks": {str(remark): times for remark, times in self.remarks},
-            "refused_objects": self.object_applier.refused,
-            "refused_settings": list(self.settings.problems),
-            "revisions": {k.name: replica.revision for k, replica in self.replicas.items()},
-            "evacuated": sorted(self.evacuated),
-            "peers": {
-                peer.identity.name: {"live": peer.live(now), "domain": peer.identity.domain}
-                for peer in self.peers
-            },
-            "domains": {
-                domain.name: {"live": domain.live(now), "vms": domain.vms}
-                for domain in self.peers.remote_domains
-            },
-            "targets": {
-                target.name: {
-                    "service": target.service,
-                    "domain": target.domain,
-                    "state": target.state.value,
-                    "cold": self.targets.cold(target.name, now),
-                    "running": self.running(target.name),
-                    "slots": target.slots,
-                    "slowness": round(self.stats(target.name).slowness, 2),
-                    "failure_rate": round(self.stats(target.name).failure_rate, 2),
-                    **self._dump_limit(target, now),
-                }
-                for target in self.targets
-            },
-            "services": {
-                name: {
-                    "rate": round(service.rate(now), 1),
-                    "warm_ms": round(service.times.warm(_ASSUMED_LATENCY) * 1000, 1),
-                    "cold_ms": round(service.times.cold(_ASSUMED_LATENCY) * 1000, 1),
-                    "bytes": round(service.times.mean_bytes),
-                    "kept_share": round(service.local_share.share, 3),
-                }
-                for name, service in self._services.items()
-            },
-        }
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/state_dump.py
@@ -0,0 +1,73 @@
+"""The state dump of a gateway: its state as values for JSON."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from carawayquay_gateway.service_state import ASSUMED_LATENCY
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from carawayquay.discovery import RegisteredTarget
+    from carawayquay_gateway.service_state import ServiceState
+    from carawayquay_gateway.state import GatewayState
+
+__all__ = ["dump_state"]
+
+
+def dump_state(state: GatewayState) -> dict[str, Any]:
+    """Return the state of a gateway as JSON-serializable values."""
+    now = state.clock.now()
+    return {
+        "vm": state.identity.name,
+        "stopping": state.stopping,
+        "configuration": state.configuration.version if state.configuration else None,
+        "remarks": {str(remark): times for remark, times in state.remarks},
+        "refused_objects": state.object_applier.refused,
+        "refused_settings": list(state.settings.problems),
+        "revisions": {k.name: replica.revision for k, replica in state.replicas.items()},
+        "evacuated": sorted(state.evacuated),
+        "peers": {
+            peer.identity.name: {"live": peer.live(now), "domain": peer.identity.domain}
+            for peer in state.peers
+        },
+        "domains": {
+            domain.name: {"live": domain.live(now), "vms": domain.vms}
+            for domain in state.peers.remote_domains
+        },
+        "targets": {target.name: _dump_target(state, target, now) for target in state.targets},
+        "services": {name: _dump_service(service, now) for name, service in state.services.items()},
+    }
+
+
+def _dump_target(state: GatewayState, target: RegisteredTarget, now: timedelta) -> dict[str, Any]:
+    stats = state.stats(target.name)
+    found = {
+        "service": target.service,
+        "domain": target.domain,
+        "state": target.state.value,
+        "cold": state.targets.cold(target.name, now),
+        "running": state.running(target.name),
+        "slots": target.slots,
+        "slowness": round(stats.slowness, 2),
+        "failure_rate": round(stats.failure_rate, 2),
+    }
+    limit = state.limit(target, now)
+    if limit is not None:
+        found["limit"] = {
+            "rate": limit.rate,
+            "age_ms": int(limit.age * 1000),
+            "share": round(limit.share, 4),
+        }
+    return found
+
+
+def _dump_service(service: ServiceState, now: timedelta) -> dict[str, Any]:
+    return {
+        "rate": round(service.rate(now), 1),
+        "warm_ms": round(service.times.warm(ASSUMED_LATENCY) * 1000, 1),
+        "cold_ms": round(service.times.cold(ASSUMED_LATENCY) * 1000, 1),
+        "bytes": round(service.times.mean_bytes),
+        "kept_share": round(service.local_share.share, 3),
+    }
--- a/packages/gateway/tests/test_documents_not_understood.py
+++ b/packages/gateway/tests/test_documents_not_understood.py
@@ -25,6 +25,7 @@
 from carawayquay.load_reports import VMIdentity
 from carawayquay.placement import Placement
 from carawayquay.routes import Route
+from carawayquay_gateway.state_dump import dump_state
 from carawayquay_platform.objects import (
     ObjectKind,
     entry_vm_spec,
@@ -157,7 +158,7 @@
     counters = state.metrics.dump()["counters"]
     for effect in ("assumed", "refused", "passed-over"):
         assert counters[f'configuration_remarks_total{{effect="{effect}"}}'] == 1
-    assert len(state.dump()["remarks"]) == 3
+    assert len(dump_state(state)["remarks"]) == 3
 
 
 def test_refused_target_is_counted_and_shown_until_it_can_be_read():
@@ -165,9 +166,9 @@
     for revision in (30, 31):
         _put(state, ObjectKind.TARGETS, "t0", target("nowhere"), revision)
     assert state.metrics.dump()["counters"]['objects_refused_total{kind="target"}'] == 1
-    assert list(state.dump()["refused_objects"]) == ["t0"]
+    assert list(dump_state(state)["refused_objects"]) == ["t0"]
     _put(state, ObjectKind.TARGETS, "t0", target("127.0.0.1:1", sequence=5), 32)
-    assert state.dump()["refused_objects"] == {}
+    assert dump_state(state)["refused_objects"] == {}
 
 
 @pytest.mark.parametrize(("path", "status"), [("/a/x", 503), ("/a/b/x", 503), ("/elsewhere/", 404)])
--- a/packages/gateway/tests/test_object_applier.py
+++ b/packages/gateway/tests/test_object_applier.py
@@ -8,6 +8,7 @@
 
 from carawayquay.clock import ManualClock
 from carawayquay.load_reports import WarmObject, short_hash
+from carawayquay_gateway.state_dump import dump_state
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_platform.store import ObjectListing
 
@@ -71,7 +72,7 @@
     clock.advance(timedelta(seconds=11))
     state.update(clock.now())
     assert not state.warm_objects.targets(7)
-    assert "t1" not in state.dump()["targets"]
+    assert "t1" not in dump_state(state)["targets"]
 
 
 def test_warm_objects_of_a_replacement_target_are_merged():
