Name budget sharers, arrivals, home pools, queue limits and retry times after what they are

Left by the wording of the code: sharing, seen, own/first/second, the module refusals, left. No behaviour changes; the tests of queue limits and retry times stand in modules of their own, and the retry-after time for a limit gets its test.

--- a/benchmarks/src/carawayquay_benchmarks/caller_policies.py
+++ b/benchmarks/src/carawayquay_benchmarks/caller_policies.py
@@ -10,8 +10,8 @@
 from carawayquay.forwarding import CallerRequest, TargetAnswer
 from carawayquay.load_reports import LoadReport, ServiceRate, TargetCount, VMIdentity, short_hash
 from carawayquay.placement import Placement
-from carawayquay.refusals import retry_after
 from carawayquay.rendezvous import ranked
+from carawayquay.retry_times import retry_after
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_benchmarks.caller_simulation import SchedulerClock
 from carawayquay_benchmarks.scenario_simulation import region_of
--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -130,7 +130,7 @@
         found[self._own.name] = self._own
         return found
 
-    def sharing(self, domains: Iterable[str]) -> int:
+    def budget_sharers(self, domains: Iterable[str]) -> int:
         """Return the number of VMs among which a global budget is divided, including this one.
 
         A domain without any known VM counts as large as this VM's domain, so that a VM that has
--- a/packages/core/src/carawayquay/moved_share.py
+++ b/packages/core/src/carawayquay/moved_share.py
@@ -21,13 +21,13 @@
 
     :param first: arrival time of the first request
     :param last: time of the last arrival or move
-    :param seen: number of arrived requests
+    :param arrived: number of arrived requests
     :param moved: number of moved requests
     """
 
     first: timedelta
     last: timedelta
-    seen: int = 0
+    arrived: int = 0
     moved: int = 0
 
 
@@ -36,17 +36,17 @@
     """Buckets in order of time, and their sums."""
 
     buckets: deque[_Bucket] = attrs.field(factory=deque)
-    seen: int = 0
+    arrived: int = 0
     moved: int = 0
 
     def push(self, bucket: _Bucket) -> None:
         self.buckets.append(bucket)
-        self.seen += bucket.seen
+        self.arrived += bucket.arrived
         self.moved += bucket.moved
 
     def pop(self) -> _Bucket:
         bucket = self.buckets.popleft()
-        self.seen -= bucket.seen
+        self.arrived -= bucket.arrived
         self.moved -= bucket.moved
         return bucket
 
@@ -69,39 +69,39 @@
 
     def record_arrival(self, now: timedelta) -> None:
         """Count an arrived request."""
-        self._bucket(now).seen += 1
-        self._last.seen += 1
+        self._bucket(now).arrived += 1
+        self._last.arrived += 1
 
     def record_move(self, now: timedelta) -> None:
         """Count an arrived request as moved."""
         self._bucket(now).moved += 1
         self._last.moved += 1
 
-    def seen(self, now: timedelta) -> int:
+    def arrivals(self, now: timedelta) -> int:
         """Return a lower bound of the arrivals in the last window, which ends now."""
         self._slide(now)
-        return self._last.seen
+        return self._last.arrived
 
     def moved(self, now: timedelta) -> int:
         """Return an upper bound of the moves in the last window, which ends now."""
         self._slide(now)
         return self._last.moved + self._moved_at_edge(now)
 
-    def previous_seen(self, now: timedelta) -> int:
+    def previous_arrivals(self, now: timedelta) -> int:
         """Return an upper bound of the arrivals in the previous window."""
         self._slide(now)
-        return self._previous.seen
+        return self._previous.arrived
 
     def previous_share(self, now: timedelta) -> float:
         """Return a lower bound of the moved share of the previous window, 0 without arrivals."""
         self._slide(now)
-        if self._previous.seen == 0:
+        if self._previous.arrived == 0:
             return 0.0
         moved = self._previous.moved - self._moved_at_edge(now)
         oldest = self._previous.buckets[0]
         if oldest.first <= now - 2 * self._window:
             moved -= oldest.moved
-        return max(0, moved) / self._previous.seen
+        return max(0, moved) / self._previous.arrived
 
     def _bucket(self, now: timedelta) -> _Bucket:
         """Return the current bucket, a new one if the last has reached its length."""
--- a/packages/core/src/carawayquay/shifts.py
+++ b/packages/core/src/carawayquay/shifts.py
@@ -182,7 +182,7 @@
         floor = self._floor(move, now)
         return floor <= 0 or self._counts_without_spill_over.moved(
             now
-        ) >= floor * self._counts.seen(now)
+        ) >= floor * self._counts.arrivals(now)
 
     def allowed(self, move: Move, now: timedelta) -> float:
         """Return the maximum moved share in the window that ends now, 0 to 1."""
@@ -195,8 +195,8 @@
 
     def share(self, now: timedelta) -> float:
         """Return the moved share in the window that ends now, 0 to 1."""
-        seen = self._counts.seen(now)
-        return min(1.0, self._counts.moved(now) / seen) if seen else 0.0
+        arrivals = self._counts.arrivals(now)
+        return min(1.0, self._counts.moved(now) / arrivals) if arrivals else 0.0
 
     def destinations(self, fraction: float, now: timedelta) -> tuple[Destination, ...]:
         """Return the destinations to try for a request, in order.
@@ -224,8 +224,8 @@
 
     def _fits(self, share: float, now: timedelta) -> bool:
         if share >= 1:
-            return self._counts.seen(now) > 0
-        return self._counts.moved(now) + 1 <= share * self._counts.seen(now)
+            return self._counts.arrivals(now) > 0
+        return self._counts.moved(now) + 1 <= share * self._counts.arrivals(now)
 
     def _share_before(self, move: Move, now: timedelta) -> float:
         """Return the preceding window's moved share, or its level if it has too few requests."""
@@ -243,7 +243,7 @@
         return self._counts_without_spill_over.previous_share(now) - self._cap_fraction(move)
 
     def _too_few_before(self, move: Move, now: timedelta) -> bool:
-        return self._counts.previous_seen(now) * self._cap_fraction(move) < _MIN_MOVES
+        return self._counts.previous_arrivals(now) * self._cap_fraction(move) < _MIN_MOVES
 
     def _cap_fraction(self, move: Move) -> float:
         match move:
--- a/packages/core/tests/test_moved_share.py
+++ b/packages/core/tests/test_moved_share.py
@@ -24,10 +24,10 @@
             counts.record_move(now)
         record.add(now, moved)
         seen, moves = record.count(now - WINDOW, now)
-        assert counts.seen(now) <= seen
+        assert counts.arrivals(now) <= seen
         assert counts.moved(now) >= moves
         assert counts.previous_share(now) <= float(record.share(now - WINDOW)) + 1e-9
-        assert counts.previous_seen(now) >= record.count(now - 2 * WINDOW, now - WINDOW)[0]
+        assert counts.previous_arrivals(now) >= record.count(now - 2 * WINDOW, now - WINDOW)[0]
 
 
 def test_counts_are_exact_for_requests_in_separate_buckets():
@@ -37,7 +37,7 @@
         counts.record_arrival(now)
         if index % 4 == 0:
             counts.record_move(now)
-    assert (counts.seen(now), counts.moved(now)) == (100, 25)
+    assert (counts.arrivals(now), counts.moved(now)) == (100, 25)
     assert counts.previous_share(now) == 0.25
 
 
--- a/packages/core/tests/test_remote_domains.py
+++ b/packages/core/tests/test_remote_domains.py
@@ -111,14 +111,14 @@
     peers = EntryPeers(OWN)
     for domain in "bc":
         peers.receive_summary(_summary(domain, members=4), NOW)
-    assert peers.sharing(DOMAINS) == 9
+    assert peers.budget_sharers(DOMAINS) == 9
     for minute in range(60):
         peers.expire(NOW + timedelta(minutes=minute))
-    assert peers.sharing(DOMAINS) == 9
+    assert peers.budget_sharers(DOMAINS) == 9
 
 
 def test_vm_without_peers_uses_no_more_than_the_share_of_a_domain():
-    assert EntryPeers(OWN).sharing(DOMAINS) == 3
+    assert EntryPeers(OWN).budget_sharers(DOMAINS) == 3
 
 
 #: Steps of a fleet: an action, and a number that selects a domain or a duration.
@@ -187,7 +187,7 @@
 
     def total_share(self):
         """Return the sum of all VMs' shares of a global budget."""
-        return sum(1 / peers.sharing(DOMAINS) for _, peers in self.vms.values())
+        return sum(1 / peers.budget_sharers(DOMAINS) for _, peers in self.vms.values())
 
 
 @given(_STEPS)
@@ -209,10 +209,10 @@
     monkeypatch.setattr(
         RemoteDomain, "vms", property(lambda self: len(list(self.live_members(fleet.now))))
     )
-    known = EntryPeers.sharing
+    known = EntryPeers.budget_sharers
     monkeypatch.setattr(
         EntryPeers,
-        "sharing",
+        "budget_sharers",
         lambda self, _: known(self, {domain.name for domain in self.remote_domains if domain.vms}),
     )
     assert fleet.total_share() > 1.5
--- a/packages/core/tests/test_refusals.py
+++ b/packages/core/tests/test_retry_times.py
@@ -1,37 +1,13 @@
-"""Retry-after times are short and jittered; requests queue only if the answer can be in time."""
+"""Retry-after times are short and jittered, or as long as a target's limit asks for."""
 
 from __future__ import annotations
 
 import random
-from datetime import timedelta
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carawayquay.refusals import max_queue_wait, retry_after
-from carawayquay.routes import Route, RouteKind, WeightedService
-
-ROUTE = Route(
-    name="r",
-    host="h",
-    path_prefix="/",
-    kind=RouteKind.IDEMPOTENT,
-    services=(WeightedService("s", 1.0),),
-    timeout=timedelta(seconds=1.2),
-    target_latency=timedelta(seconds=0.2),
-)
-
-
-def test_queue_ends_where_the_answer_would_be_late():
-    assert abs(max_queue_wait(ROUTE, 0.0, 1.2, 0.08) - 0.12) < 1e-9
-
-
-def test_request_that_is_late_in_any_case_may_queue_briefly():
-    assert abs(max_queue_wait(ROUTE, 0.5, 0.7, 0.3) - 0.12) < 1e-9
-
-
-def test_no_request_queues_past_its_deadline():
-    assert max_queue_wait(ROUTE, 1.0, 0.2, 0.3) < 0
+from carawayquay.retry_times import limited_retry_after, retry_after
 
 
 @given(
@@ -55,3 +31,11 @@
     long = [retry_after(0.4, 3.0, generator) for _ in range(50)]
     assert max(short) < 0.15
     assert min(long) > 0.4
+
+
+def test_retry_after_for_a_limit_is_not_cut_to_the_callers_deadline():
+    generator = random.Random(1)
+    times = [limited_retry_after(6.0, generator) for _ in range(50)]
+    assert min(times) > 6.0
+    assert max(times) <= 30.0
+    assert limited_retry_after(1000.0, generator) == 30.0
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -10,7 +10,7 @@
 from carawayquay.crash_counts import CrashCounts, request_fingerprint
 from carawayquay.errors import ErrorKind
 from carawayquay.placement import NoCapacity, Placement
-from carawayquay.refusals import limited_retry_after, retry_after
+from carawayquay.retry_times import limited_retry_after, retry_after
 from carawayquay.routes import UnreadRoutes
 from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.answers import CallerAnswers
@@ -170,7 +170,7 @@
             return False
         now = self._state.clock.now()
         retries = self._state.service(exchange.service).retries
-        if not retries.take(now, self._state.sharing()):
+        if not retries.take(now, self._state.budget_sharers()):
             self._state.metrics.count("retries_refused_total", service=exchange.service)
             return False
         self._state.metrics.count("retries_total", service=exchange.service)
--- a/packages/gateway/src/carawayquay_gateway/selection.py
+++ b/packages/gateway/src/carawayquay_gateway/selection.py
@@ -15,8 +15,8 @@
     choose_cheapest,
     key_position,
 )
+from carawayquay.queue_limits import max_queue_wait
 from carawayquay.ratio_budget import RatioBudget
-from carawayquay.refusals import max_queue_wait
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -111,15 +111,15 @@
         state = self._state
         region = state.settings.region
         request = _Request(route, service, key, elapsed, remaining, frozenset(tried_targets))
-        own = state.targets.in_region(service, region)
-        others = state.targets.outside_region(service, region)
-        first, second = (own, others) if self._home_is_here(request) else (others, own)
-        chosen = self._choose_within_limits(request, first)
+        near = state.targets.in_region(service, region)
+        far = state.targets.outside_region(service, region)
+        home_pool, other_pool = (near, far) if self._home_is_here(request) else (far, near)
+        chosen = self._choose_within_limits(request, home_pool)
         if isinstance(chosen, Placement):
             return chosen
         if chosen.wait is None and chosen.limit_reached is None:
-            return self._choose_within_limits(request, second)
-        elsewhere = self._choose_within_limits(request, second, self._spillover_budget)
+            return self._choose_within_limits(request, other_pool)
+        elsewhere = self._choose_within_limits(request, other_pool, self._spillover_budget)
         if isinstance(elsewhere, NoCapacity):
             return chosen
         if elsewhere.limit_reached is None:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -296,9 +296,9 @@
             near = sorted(vm.name for vm in vms if vm.region == target.region)
         return tuple(near or sorted(vm.name for vm in vms))
 
-    def sharing(self) -> int:
+    def budget_sharers(self) -> int:
         """Return the number of VMs among which fleet-wide budgets are divided."""
-        return self.peers.sharing(self.settings.regions)
+        return self.peers.budget_sharers(self.settings.regions)
 
     def limit(self, target: RegisteredTarget, now: timedelta) -> TargetLimit | None:
         """Return the limit that a target named, with the mean share of this VM's requests."""
@@ -313,4 +313,4 @@
         """Return the number of VMs and the longest interval of what they tell this VM."""
         intervals = [peer.timing.interval for peer in self.peers.domain_peers]
         intervals += [domain.timing.interval for domain in self.peers.remote_domains]
-        return FleetView(self.sharing(), max(intervals, default=timedelta()))
+        return FleetView(self.budget_sharers(), max(intervals, default=timedelta()))
