--- a/packages/gateway/tests/gateway_site.py
+++ b/packages/gateway/tests/gateway_site.py
@@ -145,11 +145,25 @@
             process.kill()
             process.wait()
 
+    def signal(self, vm, number):
+        """Send a signal to the gateway of a VM."""
+        self._processes[vm].send_signal(number)
+
+    def restart(self, vm):
+        """Kill the gateway of a VM and start it again at once."""
+        self._processes[vm].kill()
+        self._processes[vm].wait()
+        self._launch(vm)
+
     def count_logged(self, text):
         """Return the number of log lines of all VMs that contain a text."""
         lines = [path.read_text().splitlines() for path in self._folder.glob("*.log")]
         return sum(text in line for line in itertools.chain(*lines))
 
+    def _launch(self, vm):
+        path = self._folder / f"{vm}.ini"
+        self._processes[vm] = launch_gateway(path, path.with_suffix(".log"))
+
     def _add_vm(self, index, ports, store_address):
         domain = list(_REGIONS)[index % len(_REGIONS)]
         name, host = f"{domain}-{index}", f"127.9.1.{index + 1}"
@@ -161,9 +175,8 @@
         text = text.replace("name = puget-a-1", f"name = {name}")
         text = text.replace("domain = puget-a", f"domain = {domain}")
         text = text.replace("region = puget\n", f"region = {_REGIONS[domain]}\n", 1)
-        path = self._folder / f"{name}.ini"
-        path.write_text(text)
-        self._processes[name] = launch_gateway(path, path.with_suffix(".log"))
+        (self._folder / f"{name}.ini").write_text(text)
+        self._launch(name)
         self.callers.append(Address(host, ports[0]))
         self._ready.append(Address(host, ports[1]))
         self.admins.append(Address(host, ports[3]))
--- a/packages/gateway/tests/test_limit_recorder.py
+++ b/packages/gateway/tests/test_limit_recorder.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 import attrs
+import logbook
 import pytest
 from gateway_builders import ScriptedTarget as Scripted
 from gateway_builders import (
@@ -175,9 +176,14 @@
         answers = [await forwarder.handle(request()) for _ in range(12)]
         return answers, stub, state
 
-    answers, stub, state = run(check)
+    with logbook.TestHandler() as log:
+        answers, stub, state = run(check)
+    lines = [record.message for record in log.records if "kind=target-limited" in record.message]
+    assert all("limited_by=t0 limit=0.001 limit_age_ms=" in line for line in lines)
+    assert all("id=a1" in line and "limit_share=" in line for line in lines)
     refused = [answer for answer in answers if answer.status == 503]
     assert len(refused) + len(stub.requests) == len(answers)
+    assert len(lines) == len(refused)
     assert len(stub.requests) <= 3
     assert {answer.body for answer in refused} == {b"target-limited"}
     assert all(float(answer.header(b"retry-after")) > 5 for answer in refused)
--- a/packages/gateway/tests/test_target_limits.py
+++ b/packages/gateway/tests/test_target_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import time
 
 import curio
@@ -87,6 +88,25 @@
     _with_load(tmp_path, targets, check)
 
 
+def test_limits_hold_while_vms_are_killed_and_frozen_in_turn(tmp_path):
+    targets = _new_targets()
+
+    async def check(fleet, callers):
+        for limited in targets:
+            limited.limit = "2.5"
+        settled = time.monotonic() + _CONTACT_SECONDS
+        for killed, frozen in (("puget-a-0", "puget-a-3"), ("puget-b-1", "inland-a-2")):
+            fleet.restart(killed)
+            fleet.signal(frozen, signal.SIGSTOP)
+            await curio.sleep(2.0)
+            fleet.signal(frozen, signal.SIGCONT)
+            await curio.sleep(3.0)
+        for limited in targets:
+            assert limited.most_in_window(_WINDOW_SECONDS, settled) <= _allowed(2.5)
+
+    _with_load(tmp_path, targets, check)
+
+
 def test_limit_binds_no_request_after_it_has_ended(tmp_path):
     targets = _new_targets()
 
