--- a/packages/core/src/carawayquay/target_limits.py
+++ b/packages/core/src/carawayquay/target_limits.py
@@ -250,9 +250,7 @@
     def domain_reports(self, now: timedelta) -> tuple[TargetLimitReport, ...]:
         """Return all limited targets, with the demand of the failure domain, for its summary."""
         reports = [
-            _report(
-                key, known.limit, known.demand.at(now) + self._domain_demand.rate(key, now), now
-            )
+            _report(key, known.limit, self._demand_of_domain(key, known, now), now)
             for key, known in self._reportable(now)
         ]
         return self._summarized.take(reports)
@@ -301,6 +299,7 @@
         return total
 
     def _demand_of_domain(self, key: int, known: _Target, now: timedelta) -> float:
+        """Return the demand of this VM and of the others of its domain, in requests/s."""
         return known.demand.at(now) + self._domain_demand.rate(key, now)
 
     def _reportable(self, now: timedelta) -> list[tuple[int, _Target]]:
