Test limits through a burst of callers, known red at 195 VMs

Demand that rises threefold at once: 6 and 20 simulated VMs hold a limit of 7.4/s, 195 send 60 requests in 4 s (49 allowed), since each sees too few requests to notice the burst before the next reports.

--- a/packages/core/tests/limit_fleet.py
+++ b/packages/core/tests/limit_fleet.py
@@ -130,7 +130,7 @@
         target = self._random.choice(self.targets)
         if vm.frozen:
             return
-        reached = vm.limits.admit(target, ServiceLoad(self.rate), self._now)
+        reached = vm.limits.admit(target, self._service_load(vm), self._now)
         if reached is not None:
             self.refused.append(reached)
             return
@@ -140,6 +140,10 @@
         answer = (self._now + _WORK, len(self.sent), vm, target, self.limit, self._now)
         heapq.heappush(self._answers, answer)
 
+    def _service_load(self, _):
+        """Return the load of the service as a VM sees it."""
+        return ServiceLoad(self.rate)
+
     def _take_answers(self):
         while self._answers and self._answers[0][0] <= self._now:
             at, _, vm, target, limit, sent_at = heapq.heappop(self._answers)
--- /dev/null
+++ b/packages/gateway/tests/test_limit_bursts.py
@@ -0,0 +1,58 @@
+"""A limit holds while the callers of all VMs come in a burst."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from gateway_builders import settings
+from limit_fleet import LimitFleet
+
+from carawayquay.target_limits import ServiceLoad
+from carawayquay_gateway.service_state import ServiceState
+
+#: Requests that the users' rule allows in 4 s at 7.4/s.
+_LIMIT = 7.4
+_ALLOWED = 1.5 * 4 * _LIMIT + 5
+
+
+class _BurstFleet(LimitFleet):
+    """A fleet whose VMs see the requests for the whole service, by which they notice a burst.
+
+    :param vm_rate: requests/s for the service at each VM
+    """
+
+    def __init__(self, vms, domains, rate, vm_rate):
+        super().__init__(vms, domains, rate)
+        self._vm_rate = vm_rate
+        self._services = {vm.name: ServiceState(settings()) for vm in self.vms}
+        self._counted_until = dict.fromkeys(self._services, self.now)
+
+    def burst(self, factor):
+        """Multiply the rates of all requests."""
+        self.rate *= factor
+        self._vm_rate *= factor
+
+    def _service_load(self, vm):
+        service = self._services[vm.name]
+        at = self._counted_until[vm.name]
+        while (gap := timedelta(seconds=self._random.expovariate(self._vm_rate))) < self.now - at:
+            at += gap
+            service.count_request(at)
+        self._counted_until[vm.name] = self.now
+        service.count_request(self.now)
+        return ServiceLoad(self.rate, service.growth(self.now))
+
+
+@pytest.mark.parametrize(
+    ("vms", "domains", "vm_rate"), [(6, 3, 80.0), (20, 6, 25.0), (195, 9, 3.6)]
+)
+def test_limit_holds_through_a_threefold_burst(vms, domains, vm_rate):
+    fleet = _BurstFleet(vms, domains, 25.0, vm_rate)
+    fleet.run(4)
+    fleet.limit = _LIMIT
+    fleet.run(10)
+    burst = fleet.now
+    fleet.burst(3)
+    fleet.run(8)
+    assert fleet.most_in_window(burst - timedelta(seconds=4)) <= _ALLOWED
