Log the store's era, listings and objects that are passed over, and each request's version

Now the rise of the era is a line (store-restored) and two metrics (store_era, store_restores_total), a listing or an object that is passed over says what it was compared with, and each line of a request names the configuration version by which it was decided. The stand-in store names its era and can be restored.

--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -45,6 +45,7 @@
             id=exchange.call.request_id,
             route=exchange.route.name,
             service=exchange.service,
+            version=exchange.version,
             key=exchange.call.object_key,
             target=placed.target.name,
             domain=placed.target.domain,
@@ -68,6 +69,7 @@
         _log.info(
             Event.REQUEST_RETRIED,
             id=exchange.call.request_id,
+            version=exchange.version,
             target=placed.target.name,
             domain=placed.target.domain,
             outcome=outcome,
@@ -93,6 +95,7 @@
             reason,
             retry_delay,
             exchange.route.name,
+            version=exchange.version,
             **self._limit_fields(exchange),
         )
 
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -87,7 +87,9 @@
         generator = random.Random(seed)
         self._state = GatewayState(settings, clock or MonotonicClock(), Metrics(), identity)
         observe = self._state.metrics.observe_store_call
-        self._store = PlatformStoreClient(settings.store, settings.store_timeout, observe)
+        self._store = PlatformStoreClient(
+            settings.store, settings.store_timeout, observe, self._state.note_store_era
+        )
         self._watchers = [
             Watcher(self._state, self._store, replica, generator)
             for replica in self._state.replicas.values()
@@ -120,6 +122,7 @@
         gauge("configuration_remarks", lambda: float(len(self._state.remarks)))
         gauge("objects_refused", lambda: float(len(self._state.object_applier.refused)))
         gauge("targets_limited", lambda: float(self._state.target_limits.limited))
+        gauge("store_era", lambda: float(self._state.store_era))
         gauge("stopping", lambda: float(self._state.stopping))
 
     async def run(self) -> None:
--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -29,6 +29,7 @@
 class Exchange:
     """State of a caller's request in flight.
 
+    :param version: the configuration version by which its route and service were decided
     :param started: when the request was read
     :param deadline: when the final answer is due
     :param fingerprint: hash by which equal requests are recognised
@@ -42,6 +43,7 @@
     call: CallerRequest
     route: Route
     service: str
+    version: int
     started: timedelta
     deadline: timedelta
     fingerprint: int
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -111,18 +111,26 @@
         route = configuration.find(call.host, call.path)
         if route is None:
             reason = f"no route matches in configuration version {configuration.version}"
-            return self._answers.request_error(call, ErrorKind.UNKNOWN_ROUTE, reason)
+            return self._answers.request_error(
+                call, ErrorKind.UNKNOWN_ROUTE, reason, version=configuration.version
+            )
         if isinstance(route, UnreadRoutes):
             reason = f"the route in configuration version {configuration.version} is invalid"
             return self._answers.request_error(
-                call, ErrorKind.UNREAD_ROUTE, reason, _UNREAD_ROUTE_RETRY
+                call,
+                ErrorKind.UNREAD_ROUTE,
+                reason,
+                _UNREAD_ROUTE_RETRY,
+                version=configuration.version,
             )
         service = self._service_choice(route).next()
         state.service(service).count_request(now, route.priority)
         self._selection.count_request()
         remaining = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
         deadline = now + remaining - _ANSWER_MARGIN
-        exchange = Exchange(call, route, service, now, deadline, request_fingerprint(call))
+        fingerprint = request_fingerprint(call)
+        version = configuration.version
+        exchange = Exchange(call, route, service, version, now, deadline, fingerprint)
         if self._crashes.refused(exchange.fingerprint, now):
             return self._answers.exchange_error(
                 exchange, ErrorKind.CRASHES_TARGETS, "equal requests crashed targets"
--- a/packages/gateway/src/carawayquay_gateway/replicas.py
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -8,6 +8,7 @@
 import attrs
 
 from carawayquay_platform.store import ObjectChanges, ObjectEvent
+from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,6 +18,8 @@
 
 __all__ = ["ObjectHandler", "Replica"]
 
+_log = EventLog("replicas")
+
 #: Maximum number of changes in the history; a peer that is farther behind lists all objects.
 _MAX_HISTORY = 1000
 
@@ -123,6 +126,14 @@
         known = self._objects.get(stored.name)
         self._change_revision = max(self._change_revision, stored.revision)
         if known is not None and known.revision >= stored.revision:
+            if known.value != stored.value:
+                _log.warning(
+                    Event.OBJECT_PASSED_OVER,
+                    kind=self._kind.name,
+                    name=stored.name,
+                    revision=stored.revision,
+                    known=known.revision,
+                )
             return
         self._objects[stored.name] = stored
         self._append_history(stored.revision, ObjectEvent(stored, deleted=False))
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -98,6 +98,8 @@
         #: Number of pauses of this VM, after each of which its replicas may be stale.
         self.pause_count = 0
         self.store_failed_at: timedelta | None = None
+        #: The highest era that the store has named, 0 if it has named none.
+        self.store_era = 0
         #: Whether a caller was refused because this VM had no configuration yet.
         self.refused_unconfigured = False
         self.limit_recorder = LimitRecorder(self)
@@ -118,6 +120,15 @@
         """Whether this VM watches the store for all kinds and the last calls succeeded."""
         return len(self.store_answered) == len(self.replicas) and all(self.store_answered.values())
 
+    def note_store_era(self, era: int) -> None:
+        """Record the era that the store named; a higher one than before tells of a restore."""
+        if era <= self.store_era:
+            return
+        if self.store_era:
+            self.metrics.count("store_restores_total")
+            _log.warning(Event.STORE_RESTORED, era=era, previous=self.store_era)
+        self.store_era = era
+
     def service(self, name: str) -> ServiceState:
         """Return the statistics of a service, created on first use."""
         found = self._services.get(name)
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -252,6 +252,15 @@
                 objects=len(listing.objects),
                 source="peer" if from_peer else "store",
             )
+        else:
+            _log.warning(
+                Event.LISTING_PASSED_OVER,
+                kind=self._replica.kind.name,
+                revision=listing.revision,
+                known=self._replica.revision,
+                era=self._state.store_era,
+                source="peer" if from_peer else "store",
+            )
 
     def _record_store_call(self, error: StoreError | None) -> None:
         connected = error is None
--- a/standins/src/carawayquay_standins/platform_store.py
+++ b/standins/src/carawayquay_standins/platform_store.py
@@ -39,12 +39,16 @@
 class PlatformStoreStandIn:
     """In-memory object store with lists, long-poll watches and conditional writes over HTTP.
 
+    Every answer names the store's era, which rises by one with each restore.
+
     :param page_items: maximum number of objects on one page of a list
+    :param era: the first era, or 0 to name none
     :ivar calls: method and request target of every request so far
     """
 
-    def __init__(self, page_items: int = _PAGE_ITEMS) -> None:
+    def __init__(self, page_items: int = _PAGE_ITEMS, era: int = 1) -> None:
         self._page_items = page_items
+        self._era = era
         self._revision = 1
         self._kinds: dict[str, dict[str, Any]] = {}
         self._history: list[tuple[int, str, dict[str, Any]]] = []
@@ -59,6 +63,11 @@
         """Revision of the last change."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """The number of restores, counted from the first era."""
+        return self._era
+
     def object(self, kind: str, name: str) -> dict[str, Any] | None:
         """Return an object, or None if there is none."""
         return self._kinds.get(kind, {}).get(name)
@@ -80,6 +89,22 @@
         async with self._changed:
             await self._changed.notify_all()
 
+    async def restore(self, revision: int) -> None:
+        """Go back to the copy of a revision; later revisions are given out again."""
+        self._history = [item for item in self._history if item[0] <= revision]
+        self._kinds = {}
+        for _, kind, event in self._history:
+            stored = event["object"]
+            objects = self._kinds.setdefault(kind, {})
+            if event["deleted"]:
+                objects.pop(stored["metadata"]["name"], None)
+            else:
+                objects[stored["metadata"]["name"]] = stored
+        self._revision = revision
+        self._era += 1
+        async with self._changed:
+            await self._changed.notify_all()
+
     async def _store(self, kind: str, stored: dict[str, Any], *, deleted: bool) -> int:
         self._revision += 1
         stored = copy.deepcopy(stored)
@@ -102,15 +127,21 @@
         if faults.down:
             return None
         if faults.refuse_status:
-            return HttpResponse(faults.refuse_status)
+            return self._with_era(HttpResponse(faults.refuse_status))
         if faults.delay_seconds:
             await curio.sleep(faults.delay_seconds)
-        answer = await self._answer(request)
+        answer = self._with_era(await self._answer(request))
         if request.method != "GET" and faults.lose_writes > 0:
             faults.lose_writes -= 1
             return None
         return answer
 
+    def _with_era(self, answer: HttpResponse) -> HttpResponse:
+        if not self._era:
+            return answer
+        era = (b"store-era", str(self._era).encode())
+        return attrs.evolve(answer, headers=(*answer.headers, era))
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         url = urlsplit(request.target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -146,12 +177,16 @@
     async def _watch(self, kind: str, after: int, wait_ms: int) -> HttpResponse:
         events: list[Any] = []
         async with curio.ignore_after(wait_ms / 1000), self._changed:
-            while after >= self._compacted_revision and not (events := self._events(kind, after)):
+            while self._has_history(after) and not (events := self._events(kind, after)):
                 await self._changed.wait()
-        if after < self._compacted_revision:
+        if not self._has_history(after):
             return HttpResponse(410)
         return json_response(200, {"events": events, "current_rev": self._revision})
 
+    def _has_history(self, after: int) -> bool:
+        """Return whether the changes after a revision are known and the revision exists."""
+        return self._compacted_revision <= after <= self._revision
+
     def _events(self, kind: str, after: int) -> list[Any]:
         return [
             event
