--- a/packages/gateway/tests/gateway_site.py
+++ b/packages/gateway/tests/gateway_site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import subprocess
 import sys
@@ -145,6 +146,20 @@
             process.kill()
             process.wait()
 
+    @property
+    def vms(self):
+        """The names of the VMs, in the order of their addresses."""
+        return list(self._processes)
+
+    async def dumps(self):
+        """Return the state dump of each VM that answers, by its name."""
+        found = {}
+        for vm, admin in zip(self.vms, self.admins, strict=True):
+            with contextlib.suppress(HttpError):
+                plain = HttpRequest("GET", "/dump", (), b"")
+                found[vm] = (await HttpClient().exchange(admin, plain, 1.0)).json()
+        return found
+
     def signal(self, vm, number):
         """Send a signal to the gateway of a VM."""
         self._processes[vm].send_signal(number)
