--- a/packages/gateway/src/carawayquay_gateway/object_applier.py
+++ b/packages/gateway/src/carawayquay_gateway/object_applier.py
@@ -94,7 +94,7 @@
         return replica.objects
 
     def dump_restore(self) -> dict[str, list[str]]:
-        """Return the names of lost objects that are kept, and of returned ones that are not used."""
+        """Return the names of the lost objects that are kept and of the returned ones not used."""
         unused = self._withheld_until.keys() | self._outdated
         return {"kept": sorted(name for _, name in self._lost), "withheld": sorted(unused)}
 
