Refuse late requests that may outlast a planned stop

Callers saw: requests whose last byte came late in a planned stop (on a connection that was already sending) were passed on, and cut off with no answer when the process ended. Cause: once look-ups had expired the VM closed idle connections, but took whatever an open one still delivered, without comparing its deadline with the end of the stop. Evidence: a booking whose body ends 3.3 s after SIGTERM, target at work for 3 s: the connection closed without a byte. Change: from then on a request is passed on only if its deadline lies before the end of the stop; another one gets 503 'stopping' (not run) at once and closes its connection.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -6,6 +6,7 @@
 import secrets
 import sys
 import time
+from datetime import timedelta
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from carawayquay.clock import Clock, MonotonicClock
 from carawayquay.crash_counts import CrashCounts
 from carawayquay.load_reports import VMIdentity
+from carawayquay.planned_stop import PlannedStop
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_gateway.admin import AdminApi, ReadinessApi, reject
 from carawayquay_gateway.configuration_sync import ConfigurationSync
@@ -58,10 +60,10 @@
 _CALLERS_SHARE = 0.5
 
 #: Part of the grace period of a planned stop that is reserved for the last answers and the exit.
-_EXIT_MARGIN_SECONDS = 0.4
+_EXIT_MARGIN = timedelta(seconds=0.4)
 
 #: Time after which callers' cached look-ups that name this VM have expired.
-_LOOKUP_EXPIRY_SECONDS = 2.8
+_LOOKUP_EXPIRY = timedelta(seconds=2.8)
 
 
 class Gateway:
@@ -187,10 +189,12 @@
         self._state.stopping = True
         self._caller_server.announce_close()
         self._peers.announce()
-        grace = self._settings.stop_grace.total_seconds() - _EXIT_MARGIN_SECONDS
-        async with curio.ignore_after(grace):
+        now = self._state.clock.now()
+        grace = self._settings.stop_grace - _EXIT_MARGIN
+        self._state.planned_stop = PlannedStop(now + _LOOKUP_EXPIRY, now + grace)
+        async with curio.ignore_after(grace.total_seconds()):
             await curio.spawn(self._registrar.deregister, daemon=True)
-            await curio.sleep(_LOOKUP_EXPIRY_SECONDS)
+            await curio.sleep(_LOOKUP_EXPIRY.total_seconds())
             await self._caller_listener.close()
             await self._caller_server.drain()
             while self._caller_server.open_connections > 0 or self._forwarder.active > 0:
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -44,6 +44,9 @@
 #: Retry-after seconds for a route that could not be read, which an operator has to correct.
 _UNREAD_ROUTE_RETRY = 2.0
 
+#: Retry-after seconds of a VM that stops, after which callers use another one.
+_STOPPING_RETRY = 0.05
+
 #: Assumed wait in seconds until a target has room, if no further retry is allowed.
 _RETRY_WAIT = 0.1
 
@@ -131,6 +134,11 @@
         fingerprint = request_fingerprint(call)
         version = configuration.version
         exchange = Exchange(call, route, service, version, now, deadline, fingerprint)
+        stop = state.planned_stop
+        if stop is not None and not stop.admits(deadline, now):
+            return self._answers.exchange_error(
+                exchange, ErrorKind.STOPPING, "this VM stops before the deadline", _STOPPING_RETRY
+            )
         if self._crashes.refused(exchange.fingerprint, now):
             return self._answers.exchange_error(
                 exchange, ErrorKind.CRASHES_TARGETS, "equal requests crashed targets"
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -32,6 +32,7 @@
     from carawayquay.clock import Clock
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.load_reports import VMIdentity, WarmObject
+    from carawayquay.planned_stop import PlannedStop
     from carawayquay.remarks import Remark
     from carawayquay.routes import Configuration
     from carawayquay.target_limits import LimitReached, TargetLimit
@@ -74,6 +75,8 @@
         self.metrics = metrics
         self.identity = identity
         self.stopping = False
+        #: The course of the planned stop, None before it begins.
+        self.planned_stop: PlannedStop | None = None
         self.ticker = Ticker(Random(identity.incarnation ^ short_hash(identity.name)))
         #: Whether the last store call succeeded, for each kind that this VM itself watches.
         self.store_answered: dict[ObjectKind, bool] = {}
