Order the product's own documents, VM lists and shard maps across restores of the store

Versions are now one number that holds how often the store was restored (plain numbers until then), a watch or condition across a restore fails, a version that may be the older copy's is held back until the newer one is written again (never taken if it was in force here before), and a shard map with an earlier epoch is neither adopted nor left in the store.

--- a/packages/core/src/carawayquay/claim_maps.py
+++ b/packages/core/src/carawayquay/claim_maps.py
@@ -87,12 +87,22 @@
         return shards[shard.number] if shards else None
 
     def adopt(self, shard_map: ShardMap) -> bool:
-        """Adopt a map if it is newer than the current one; return whether it was adopted."""
-        if shard_map.version <= self.get(shard_map.domain).version:
+        """Adopt a map if it is newer than the current one; return whether it was adopted.
+
+        A map with an earlier epoch of any shard is older, whatever its version: a restored store
+        has it from an older copy.
+        """
+        if shard_map.version <= self.get(shard_map.domain).version or self.is_behind(shard_map):
             return False
         self._maps[shard_map.domain] = shard_map
         return True
 
+    def is_behind(self, shard_map: ShardMap) -> bool:
+        """Return whether a map has an earlier epoch of any shard than the current one."""
+        current = self.get(shard_map.domain).shards
+        pairs = zip(shard_map.shards, current, strict=False)
+        return any(new.epoch < old.epoch for new, old in pairs)
+
 
 def parse_shard_map(domain: str, version: int, value: object) -> ShardMap:
     """Parse a map received from the store or a peer.
--- a/packages/core/src/carawayquay/objects.py
+++ b/packages/core/src/carawayquay/objects.py
@@ -138,6 +138,11 @@
             return Digest(kind, name, 0, 0)
         return Digest(kind, name, entry.newest.version, entry.in_force_version)
 
+    def in_force(self, kind: str, name: str) -> StoredObject | None:
+        """Return the newest accepted version of an object, or None if there is none."""
+        entry = self._entries.get((kind, name))
+        return None if entry is None else entry.in_force
+
     def digests(self) -> list[Digest]:
         """Return the digests of all objects."""
         return [self.digest(kind, name) for kind, name in self._entries]
--- a/packages/core/tests/test_claim_maps.py
+++ b/packages/core/tests/test_claim_maps.py
@@ -9,6 +9,7 @@
 from carawayquay.claim_keys import SHARDS, parse_key
 from carawayquay.claim_maps import Holder, MapPlanner, ShardMap, ShardMaps, parse_shard_map
 from carawayquay.errors import RequestError
+from carawayquay.store_versions import combine_version
 
 HOLDERS = tuple(Holder(f"puget-a-{number}", number) for number in range(3))
 NEIGHBOUR = Holder("puget-b-1", 9)
@@ -121,3 +122,15 @@
     key = "puget-a.3.7." + "0" * 24
     assert parse_key(key + "-2", ["puget-a"]).shard == parse_key(key, ["puget-a"]).shard
     assert not parse_key(key + "x", ["puget-a"]).minted
+
+
+def test_map_with_an_earlier_epoch_is_not_adopted_although_its_version_is_higher():
+    maps = ShardMaps()
+    first = initial_map()
+    later = tuple(item.successor(item.primary, item.backup) for item in first.shards)
+    assert maps.adopt(ShardMap("puget-a", 9, "d", later))
+    restored = ShardMap("puget-a", combine_version(2, 8), "c", first.shards)
+    assert maps.is_behind(restored)
+    assert not maps.adopt(restored)
+    assert maps.get("puget-a").version == 9
+    assert maps.adopt(ShardMap("puget-a", combine_version(2, 10), "d", later))
--- a/packages/daemon/src/carawayquayd/claim_shards.py
+++ b/packages/daemon/src/carawayquayd/claim_shards.py
@@ -64,6 +64,9 @@
         self._own_holder = Holder(state.settings.name, state.incarnation)
         self._holders = HolderView(state, self._own_holder)
         self._maps = ShardMaps()
+        #: The version of each map in the store, and the domains whose map there is an older one.
+        self._stored_versions: dict[str, int] = {}
+        self._lost_maps: set[str] = set()
         self._replicas: dict[ShardId, ShardReplica] = {}
         self._running_jobs: set[tuple[str, object]] = set()
         self._change_notifier = _ChangeNotifier()
@@ -189,6 +192,7 @@
             try:
                 if revision == 0:
                     listing = await self._store.list(_KIND)
+                    self._note_missing_maps({item.name for item in listing.objects})
                 else:
                     listing = await self._store.watch(_KIND, revision, _WATCH_TIMEOUT)
             except StoreError:
@@ -200,11 +204,27 @@
             self._confirmed_at = started
             revision = max(revision, listing.revision)
 
+    def _note_missing_maps(self, names: set[str]) -> None:
+        """Note the known maps that the store lacks, since it was restored from an older copy."""
+        for held in self._maps:
+            if held.version and held.domain not in names:
+                self._stored_versions[held.domain] = 0
+                self._lost_maps.add(held.domain)
+
     async def _adopt_stored_map(self, domain: str, version: int, value: object) -> None:
         try:
-            await self._adopt(parse_shard_map(domain, version, value))
+            shard_map = parse_shard_map(domain, version, value)
         except ValueError as error:
             _log.warning(Event.SHARD_MAP_REFUSED, domain=domain, version=version, reason=error)
+            return
+        self._stored_versions[domain] = version
+        if self._maps.is_behind(shard_map):
+            self._lost_maps.add(domain)
+            reason = "an epoch is older than the known one"
+            _log.warning(Event.SHARD_MAP_REFUSED, domain=domain, version=version, reason=reason)
+            return
+        self._lost_maps.discard(domain)
+        await self._adopt(shard_map)
 
     async def _adopt(self, shard_map: ShardMap) -> None:
         if not self._maps.adopt(shard_map):
@@ -297,7 +317,7 @@
                 self._holders.clear_missing()
             self._last_upkeep_at = now
             for domain in self._relevant_domains():
-                if self._plan(domain) is not None:
+                if domain in self._lost_maps or self._plan(domain) is not None:
                     await self._start_once("propose", domain, self._propose, domain)
             for replica in list(self._replicas.values()):
                 await self._maintain_replica(replica, now)
@@ -356,15 +376,18 @@
             found = await self._store.get(_KIND, domain)
             if found is not None:
                 await self._adopt_stored_map(domain, found.version, found.value)
-            planned = self._plan(domain)
+            held = self._maps.get(domain)
+            lost = domain in self._lost_maps
+            planned = self._plan(domain) or (held.shards if lost else None)
             if planned is None:
                 return
-            held = self._maps.get(domain)
+            replaces = self._stored_versions[domain] if lost else held.version
             change = (
                 f"{self._own_holder.vm}.{self._own_holder.incarnation}.{next(self._change_counter)}"
             )
             value = ShardMap(domain, 0, change, planned).dump()
-            version = await self._store.put(_KIND, domain, value, replaces=held.version)
+            version = await self._store.put(_KIND, domain, value, replaces=replaces)
+            self._lost_maps.discard(domain)
             await self._adopt(ShardMap(domain, version, change, planned))
         except StoreError as error:
             _log.info(Event.SHARD_MAP_UNWRITTEN, domain=domain, reason=error)
--- a/packages/daemon/src/carawayquayd/object_replicator.py
+++ b/packages/daemon/src/carawayquayd/object_replicator.py
@@ -9,6 +9,7 @@
 from carawayquay.anti_entropy import AntiEntropy
 from carawayquay.errors import LinkError, ObjectError, RequestError
 from carawayquay.objects import Pull, Pulled
+from carawayquay.restored_objects import RestoredObjects
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
         self._pull_timeout = pull_timeout
         self._anti_entropy = AntiEntropy(state.objects)
         self._pulling = False
+        self._restored = RestoredObjects()
         self._counts = {"pulls": 0, "pulled": 0, "served": 0}
         self.changed = curio.Event()
 
@@ -68,7 +70,8 @@
     async def adopt_newer(self, items: Iterable[StoredObject]) -> None:
         """Adopt the objects that are newer and valid, and trigger heartbeats if any was adopted."""
         summary_before = self._state.objects.summary
-        for item in sorted(items, key=lambda item: item.version):
+        now = self._state.clock.now()
+        for item in sorted((*self._restored.due(now), *items), key=lambda item: item.version):
             self._adopt(item)
         if self._state.objects.summary != summary_before:
             await self.changed.set()
@@ -121,6 +124,10 @@
 
     def _adopt(self, item: StoredObject) -> None:
         fields = {"kind": item.kind, "name": item.name, "version": item.version}
+        in_force = self._state.objects.in_force(item.kind, item.name)
+        if self._restored.hold_back(item, in_force, self._state.clock.now()):
+            _log.warning(Event.OBJECT_WITHHELD, **fields, in_force=in_force.version)
+            return
         try:
             accepted = self._state.objects.offer(item)
         except ObjectError as error:
--- a/packages/wire/src/carawayquay_wire/store.py
+++ b/packages/wire/src/carawayquay_wire/store.py
@@ -9,6 +9,7 @@
 import attrs
 
 from carawayquay.errors import ConflictError, StoreError, UnconfirmedWriteError
+from carawayquay.store_versions import combine_version, restores, stored_number
 from carawayquay_wire.http import HttpRequest, HttpResponse
 from carawayquay_wire.http_client import HttpClient, HttpError
 
@@ -24,12 +25,15 @@
 _WATCH_GRACE_SECONDS = 1.0
 _MIN_SERVER_ERROR_STATUS = 500
 
+#: Header with the store's era, which rises by one when the store is restored from an older copy.
+_ERA_HEADER = b"store-era"
+
 
 @attrs.frozen
 class StoreObject:
     """One object of the store.
 
-    :param version: the store-wide, increasing number of the write that produced it
+    :param version: increasing number of the write that produced it, across restores of the store
     :param value: the parsed JSON of the object, or None after its deletion
     """
 
@@ -68,6 +72,7 @@
         self._address = address
         self._timeout_seconds = timeout.total_seconds()
         self._http = HttpClient()
+        self._era = 0
 
     async def get(self, kind: str, name: str) -> StoreObject | None:
         """Return an object, or None if it does not exist.
@@ -78,7 +83,7 @@
         if response.status == 404:
             return None
         value = _parse_json(response)
-        return StoreObject(kind, name, value["version"], value["value"])
+        return StoreObject(kind, name, self._version(value["version"]), value["value"])
 
     async def list(self, kind: str) -> StoreListing:
         """Return all objects of a kind.
@@ -86,18 +91,24 @@
         :raises StoreError: if the call fails or its response is not JSON
         """
         response = await self._read("list", f"/objects/{kind}", self._timeout_seconds)
-        return _parse_listing(kind, _parse_json(response))
+        return self._parse_listing(kind, _parse_json(response))
 
     async def watch(self, kind: str, after: int, wait: timedelta) -> StoreListing:
         """Wait for changes to objects of a kind and return the changed objects.
 
         :param after: the revision after which changes are returned
         :param wait: how long the store waits for a change before it responds without any
-        :raises StoreError: if the call fails or its response is not JSON
+        :raises StoreError: if the call fails, its response is not JSON, or the store was restored
+            since that revision
         """
-        path = f"/watch/{kind}?after={after}&wait_ms={int(wait.total_seconds() * 1000)}"
+        wait_ms = int(wait.total_seconds() * 1000)
+        path = f"/watch/{kind}?after={stored_number(after)}&wait_ms={wait_ms}"
         response = await self._read("watch", path, wait.total_seconds() + _WATCH_GRACE_SECONDS)
-        return _parse_listing(kind, _parse_json(response))
+        listing = self._parse_listing(kind, _parse_json(response))
+        if restores(listing.revision) != restores(after):
+            # The number may have been given out again, so that changes before it are missing.
+            raise StoreError(f"{path}: the store was restored, its era is {self._era}")
+        return listing
 
     async def put(self, kind: str, name: str, value: Any, *, replaces: int) -> int:
         """Write an object if it still has the expected version, and return the new version.
@@ -107,8 +118,10 @@
         :raises UnconfirmedWriteError: if the write may have taken effect
         :raises StoreError: if the write did not take effect, or its response is not JSON
         """
+        if replaces and restores(replaces) < restores(self._version(0)):
+            raise ConflictError(f"{kind}/{name}: version {replaces} is from before a restore")
         body = json.dumps(value, separators=(",", ":")).encode()
-        headers = ((b"if-match", str(replaces).encode()),)
+        headers = ((b"if-match", str(stored_number(replaces)).encode()),)
         request = HttpRequest("PUT", f"/objects/{kind}/{name}", headers, body)
         try:
             response = await self._call("put", request, self._timeout_seconds)
@@ -120,7 +133,7 @@
             raise UnconfirmedWriteError(f"{kind}/{name}: store answered {response.status}")
         if response.status != 200:
             raise StoreError(f"{kind}/{name}: store answered {response.status}")
-        return _parse_json(response)["version"]
+        return self._version(_parse_json(response)["version"])
 
     async def close(self) -> None:
         """Close the connections to the store."""
@@ -132,11 +145,33 @@
         try:
             response = await self._http.exchange(self._address, request, seconds)
             answered = response.status < _MIN_SERVER_ERROR_STATUS
+            self._note_era(response)
             return response
         finally:
             if self._observe is not None:
                 self._observe(name, answered, time.monotonic() - started)
 
+    def _note_era(self, response: HttpResponse) -> None:
+        """Record the era that a response names.
+
+        :raises HttpError: if the response is from before a restore
+        """
+        text = response.header(_ERA_HEADER)
+        era = int(text) if text is not None and text.isdecimal() else 0
+        if era < self._era:
+            raise HttpError(f"the response of era {era} is from before a restore", sent=True)
+        self._era = era
+
+    def _version(self, number: int) -> int:
+        return combine_version(self._era, number)
+
+    def _parse_listing(self, kind: str, value: Any) -> StoreListing:
+        objects = tuple(
+            StoreObject(kind, item["name"], self._version(item["version"]), item["value"])
+            for item in value["items"]
+        )
+        return StoreListing(self._version(value["revision"]), objects)
+
     async def _read(self, name: str, path: str, seconds: float) -> Any:
         request = HttpRequest("GET", path, (), b"")
         try:
@@ -159,10 +194,3 @@
         return response.json()
     except ValueError as error:
         raise StoreError(f"store response is not JSON: {error}") from error
-
-
-def _parse_listing(kind: str, value: Any) -> StoreListing:
-    objects = tuple(
-        StoreObject(kind, item["name"], item["version"], item["value"]) for item in value["items"]
-    )
-    return StoreListing(value["revision"], objects)
--- a/standins/src/carawayquay_standins/store.py
+++ b/standins/src/carawayquay_standins/store.py
@@ -41,10 +41,14 @@
 
 
 class StoreStandIn:
-    """In-memory object store with lists, long-poll watches and conditional writes over HTTP."""
+    """In-memory object store with lists, long-poll watches and conditional writes over HTTP.
+
+    Every answer names its era, which rises by one with each restore (``PUT /control``).
+    """
 
     def __init__(self) -> None:
         self._revision = 0
+        self._era = 1
         self._kinds: dict[str, dict[str, _Entry]] = {}
         self._history: list[tuple[str, _Entry]] = []
         self._changed = curio.Condition()
@@ -72,6 +76,14 @@
         url = urlsplit(request.target)
         if url.path == "/control":
             return await self._control(request)
+        answer = await self._answer(request)
+        if answer is None:
+            return None
+        era = (b"store-era", str(self._era).encode())
+        return attrs.evolve(answer, headers=(*answer.headers, era))
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse | None:
+        url = urlsplit(request.target)
         if self._faults.down:
             return None
         if self._faults.delay_ms:
@@ -88,6 +100,8 @@
         return json_response(404, {"error": "unknown path or method"})
 
     async def _control(self, request: HttpRequest) -> HttpResponse:
+        if request.method == "PUT":
+            await self._restore(json.loads(request.body)["revision"])
         if request.method == "POST":
             previous_revision = self._faults.stale_revision
             self._faults = Faults(**json.loads(request.body))
@@ -97,6 +111,17 @@
                 await self._changed.notify_all()
         return json_response(200, {"calls": self._calls, "faults": attrs.asdict(self._faults)})
 
+    async def _restore(self, revision: int) -> None:
+        """Go back to the copy of a revision; later revisions are given out again."""
+        self._history = [item for item in self._history if item[1].version <= revision]
+        self._kinds = {}
+        for kind, entry in self._history:
+            self._kinds.setdefault(kind, {})[entry.name] = entry
+        self._revision = revision
+        self._era += 1
+        async with self._changed:
+            await self._changed.notify_all()
+
     def _get(self, kind: str, name: str) -> HttpResponse:
         self._calls["reads"] += 1
         entry = self._visible(kind).get(name)
