--- a/models/src/carawayquay_models/__main__.py
+++ b/models/src/carawayquay_models/__main__.py
@@ -10,6 +10,7 @@
     key_claims,
     slot_lists,
     slot_loans,
+    store_restores,
 )
 from carawayquay_models.verdicts import print_verdicts
 
@@ -26,6 +27,7 @@
     print_verdicts("slot lists", slot_lists.check, slot_lists.Safeguard)
     conditional_writes.main()
     document_replication.main()
+    store_restores.main()
 
 
 if __name__ == "__main__":
