--- a/benchmarks/src/carawayquay_benchmarks/caller_policies.py
+++ b/benchmarks/src/carawayquay_benchmarks/caller_policies.py
@@ -23,8 +23,8 @@
 from carawayquay_gateway.settings import parse_gateway_settings
 from carawayquay_gateway.state import GatewayState
 from carawayquay_gateway.target_calls import Answered
+from carawayquay_platform.object_changes import ObjectListing
 from carawayquay_platform.objects import ObjectKind, parse_object
-from carawayquay_platform.store import ObjectListing
 from carawayquay_wire.metrics import Metrics
 
 if TYPE_CHECKING:
--- a/packages/gateway/src/carawayquay_gateway/admin.py
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -6,8 +6,8 @@
 
 from carawayquay.store_revision import StoreRevision
 from carawayquay_gateway.state_dump import dump_state
+from carawayquay_platform.object_responses import list_response, watch_response
 from carawayquay_platform.own_endpoints import READY_PATH, PullQuery, parse_pull
-from carawayquay_platform.store import list_response, watch_response
 from carawayquay_wire.http import HttpResponse, json_response
 
 if TYPE_CHECKING:
--- a/packages/gateway/src/carawayquay_gateway/replicas.py
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -8,14 +8,14 @@
 import attrs
 
 from carawayquay.store_revision import NO_REVISION, StoreRevision
-from carawayquay_platform.store import ObjectChanges, ObjectEvent
+from carawayquay_platform.object_changes import ObjectChanges, ObjectEvent
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from carawayquay_platform.object_changes import ObjectListing
     from carawayquay_platform.objects import ObjectKind, StoredObject
-    from carawayquay_platform.store import ObjectListing
 
 __all__ = ["ObjectHandler", "Replica"]
 
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -21,7 +21,7 @@
     from carawayquay.entry_peers import Holder
     from carawayquay_gateway.replicas import Replica
     from carawayquay_gateway.state import GatewayState
-    from carawayquay_platform.store import ObjectChanges, ObjectListing
+    from carawayquay_platform.object_changes import ObjectChanges, ObjectListing
 
 __all__ = ["Watcher"]
 
--- a/packages/gateway/tests/test_replicas.py
+++ b/packages/gateway/tests/test_replicas.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from carawayquay_gateway.replicas import ObjectHandler, Replica
+from carawayquay_platform.object_changes import ObjectChanges, ObjectEvent, ObjectListing
 from carawayquay_platform.objects import ObjectKind
-from carawayquay_platform.store import ObjectChanges, ObjectEvent, ObjectListing
 
 
 def _replica(revision=10, *names):
