--- a/packages/gateway/tests/test_store_restores.py
+++ b/packages/gateway/tests/test_store_restores.py
@@ -57,7 +57,7 @@
 
     async def restore(self, copy, down_seconds=0.5):
         """Bring the store down, and back from the copy of a revision."""
-        self.store.faults.down = True
+        await self.store.go_down()
         await curio.sleep(down_seconds / 2)
         await self.store.restore(copy)
         await curio.sleep(down_seconds / 2)
@@ -157,7 +157,7 @@
     async def check(site):
         copy = site.store.revision
         await site.confirm(6)
-        site.store.faults.down = True
+        await site.store.go_down()
         await site.store.restore(copy)
         for vm in site.fleet.vms[:3]:
             site.fleet.restart(vm)
@@ -224,7 +224,7 @@
         await site.confirm(2)
         await site.confirm(4)
         calls = len(site.store.calls)
-        site.store.faults.down = True
+        await site.store.go_down()
         await curio.sleep(0.5)
         site.store.faults.down = False
         await curio.sleep(_CONTACT_SECONDS)
--- a/standins/src/carawayquay_standins/platform_store.py
+++ b/standins/src/carawayquay_standins/platform_store.py
@@ -89,6 +89,12 @@
         async with self._changed:
             await self._changed.notify_all()
 
+    async def go_down(self) -> None:
+        """Close every connection without an answer, also those of waiting watches."""
+        self.faults.down = True
+        async with self._changed:
+            await self._changed.notify_all()
+
     async def restore(self, revision: int) -> None:
         """Go back to the copy of a revision; later revisions are given out again."""
         self._history = [item for item in self._history if item[0] <= revision]
@@ -130,7 +136,10 @@
             return self._with_era(HttpResponse(faults.refuse_status))
         if faults.delay_seconds:
             await curio.sleep(faults.delay_seconds)
-        answer = self._with_era(await self._answer(request))
+        answer = await self._answer(request)
+        if answer is None:
+            return None
+        answer = self._with_era(answer)
         if request.method != "GET" and faults.lose_writes > 0:
             faults.lose_writes -= 1
             return None
@@ -142,7 +151,7 @@
         era = (b"store-era", str(self._era).encode())
         return attrs.evolve(answer, headers=(*answer.headers, era))
 
-    async def _answer(self, request: HttpRequest) -> HttpResponse:
+    async def _answer(self, request: HttpRequest) -> HttpResponse | None:
         url = urlsplit(request.target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         match [unquote(part) for part in url.path.split("/") if part]:
@@ -174,11 +183,13 @@
         }
         return json_response(200, value)
 
-    async def _watch(self, kind: str, after: int, wait_ms: int) -> HttpResponse:
+    async def _watch(self, kind: str, after: int, wait_ms: int) -> HttpResponse | None:
         events: list[Any] = []
         async with curio.ignore_after(wait_ms / 1000), self._changed:
             while self._has_history(after) and not (events := self._events(kind, after)):
                 await self._changed.wait()
+                if self.faults.down:
+                    return None
         if not self._has_history(after):
             return HttpResponse(410)
         return json_response(200, {"events": events, "current_rev": self._revision})
