Keep the era of a kind of object that has none

A VM that pulled an empty kind from a neighbour took it for one of era 0, so that its first watch of the store counted as one across a restore and it listed the store.

--- a/packages/gateway/src/carawayquay_gateway/replicas.py
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -99,16 +99,14 @@
         """
         if self._revision is not None and listing.revision < self._revision:
             return False
+        if self._revision is None:
+            self._begin_history(listing.revision)
         restored = self._begin_era_if_restored(listing.revision)
         names = frozenset(stored.name for stored in listing.objects)
         lost = self._delete_unlisted(names, listing.revision, restored=restored)
         changed = sum(self._put(stored) for stored in listing.objects)
         if restored:
             self._log_restore(listing.revision, lost, changed)
-        if self._revision is None:
-            self._first_era = listing.revision.era
-            # Deletions before the first listing are unknown.
-            self._history_start = listing.revision
         self._revision = listing.revision
         if from_peer:
             self._change_revision = max(self._change_revision, listing.revision)
@@ -169,6 +167,12 @@
     def _events_since(self, revision: StoreRevision) -> tuple[ObjectEvent, ...]:
         return tuple(event for changed_at, event in self._history if changed_at > revision)
 
+    def _begin_history(self, revision: StoreRevision) -> None:
+        """Begin the history at the first listing; deletions before it are unknown."""
+        self._first_era = revision.era
+        self._history_start = revision
+        self._change_revision = StoreRevision(revision.era, 0)
+
     def _begin_era_if_restored(self, revision: StoreRevision) -> bool:
         """Begin a new era if a revision is of a later one; return whether it is."""
         if self._revision is None or revision.era <= self._revision.era:
--- a/packages/gateway/tests/test_restored_replicas.py
+++ b/packages/gateway/tests/test_restored_replicas.py
@@ -179,3 +179,14 @@
     replica.apply_listing(listing(10, stored("a", {}, 5, 1), era=1))
     replica.apply_listing(listing(4, era=2))
     assert named == [("delete", "b"), "a", ("delete", "a")]
+
+
+def test_kind_without_objects_is_known_in_the_era_of_its_listing():
+    leader, follower = _replica(), _replica()
+    leader.apply_listing(listing(22, era=1))
+    assert leader.change_revision == at(0, 1)
+    assert follower.apply_listing(listing(0, era=1), from_peer=True)
+    event = ObjectEvent(stored("a", {"n": 1}, 23, 1), deleted=False)
+    leader.apply_changes(ObjectChanges(at(23, 1), (event,)))
+    follower.apply_changes(leader.changes_since(at(22, 1)))
+    assert _values(follower) == _values(leader)
