--- a/standins/tests/test_document_restores.py
+++ b/standins/tests/test_document_restores.py
@@ -34,12 +34,6 @@
     http_request(site.store.address, "PUT", "/control", {"revision": revision})
 
 
-def drained(site, vm):
-    """Return the version in force on a VM and the domains that its document drains."""
-    found = site.state(vm)["documents"][SERVICE.name]
-    return found["version"]
-
-
 def test_document_is_kept_over_restores_and_later_ones_are_in_force_in_time(site):
     monitor = VersionMonitor(site)
     copy = stored_number(site)
