Log and count answers that can't be delivered, and connections that a VM ends

A failed write of an answer left no line, a connection that was closed as idle or in a planned stop no count, and a process that ended by a failed task no event.

answer-undelivered names the request's id, caller_connections_ended_total the cause, and event=failed the task; queued log lines are written before the process ends.

--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -13,6 +13,7 @@
     from carawayquay.placement import Placement
     from carawayquay_gateway.exchanges import Exchange
     from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.connection_ends import ConnectionEnd
     from carawayquay_wire.http import HttpResponse
 
 __all__ = ["CallerAnswers"]
@@ -128,6 +129,17 @@
         )
         return headers.refusal_response(kind, answer.status, call.request_id, retry_delay)
 
+    def record_connection_end(self, cause: ConnectionEnd, response: HttpResponse | None) -> None:
+        """Count a caller's connection that this VM ended, and log the answer that was lost."""
+        self._state.metrics.count("caller_connections_ended_total", cause=cause.value)
+        if response is not None:
+            _log.warning(
+                Event.ANSWER_UNDELIVERED,
+                id=headers.request_id(response),
+                status=response.status,
+                cause=cause.value,
+            )
+
     def _limit_fields(self, exchange: Exchange) -> dict[str, object]:
         """Return the log pairs that name the limit which kept a request from a target, if any."""
         reached = exchange.limit_reached
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -109,7 +109,11 @@
         limits = HttpLimits(connections=self._connections)
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_SHARE))
         self._caller_server = HttpServer(
-            self._forwarder.handle, self._forwarder.reject, limits, bodies
+            self._forwarder.handle,
+            self._forwarder.reject,
+            limits,
+            bodies,
+            self._forwarder.record_connection_end,
         )
         self._caller_listener = Listener(settings.callers, self._caller_server.serve)
         self._listeners = [
@@ -148,6 +152,8 @@
             await group.spawn(SettingsReloader(self._state, self._path).run, ReloadSignal())
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
         if group.completed.exception is not None:
+            _log.error(Event.FAILED, task=group.completed.name, reason=group.completed.exception)
+            self._output.flush()
             raise group.completed.exception
         _log.info(Event.STOPPED, vm=self._settings.name)
         self._output.flush()
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -29,6 +29,7 @@
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.selection import Selection
     from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.connection_ends import ConnectionEnd
     from carawayquay_wire.http import HttpRequest, HttpResponse
 
 __all__ = ["Forwarder"]
@@ -101,6 +102,13 @@
         """Return the answer to a request that violates the protocol or a limit."""
         return self._answers.reject(status, reason)
 
+    def record_connection_end(self, cause: ConnectionEnd, response: HttpResponse | None) -> None:
+        """Count and log a caller's connection that this VM ended.
+
+        :param response: the answer that could not be sent, if any
+        """
+        self._answers.record_connection_end(cause, response)
+
     async def _handle(self, call: CallerRequest) -> HttpResponse:
         state = self._state
         now = state.clock.now()
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -12,6 +12,7 @@
 import h11
 
 from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget, unknown_length_reservation
+from carawayquay_wire.connection_ends import ConnectionEnd
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse
 from carawayquay_wire.socket_readiness import is_readable
@@ -20,6 +21,7 @@
     from collections.abc import Awaitable, Callable
 
     from carawayquay_wire.body_budget import Reservation
+    from carawayquay_wire.connection_ends import EndObserver
 
     MaybeResponse = HttpResponse | None
     Handler = Callable[[HttpRequest], MaybeResponse | Awaitable[MaybeResponse]]
@@ -63,6 +65,8 @@
         the status and the reason
     :param limits: limits of requests and connections, the defaults if None
     :param body_budget: the memory that the bodies of all connections share
+    :param on_end: called with the cause when this server ends a connection, and with the response
+        if one could not be sent
     """
 
     def __init__(
@@ -71,8 +75,10 @@
         reject: Callable[[int, str], HttpResponse],
         limits: HttpLimits | None = None,
         body_budget: BodyBudget | None = None,
+        on_end: EndObserver | None = None,
     ) -> None:
         self._handler = handler
+        self._on_end = on_end
         self._body_budget = body_budget or BodyBudget(_DEFAULT_BODY_BUDGET_BYTES)
         self._reject = reject
         self._limits = limits or HttpLimits()
@@ -115,6 +121,7 @@
         self._draining = True
         for sock in list(self._idle):
             if not is_readable(sock):
+                self._note_end(ConnectionEnd.DRAINED)
                 await _shut_down(sock)
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
@@ -147,6 +154,8 @@
             await curio.sleep(interval)
             now = time.monotonic()
             for sock in [sock for sock, deadline in self._deadlines.items() if deadline <= now]:
+                if sock in self._idle:
+                    self._note_end(ConnectionEnd.IDLE)
                 await _shut_down(sock)
 
     async def _refuse(self, sock: Any) -> None:
@@ -191,9 +200,14 @@
         await reservation.release()
         await reservation.grow_to(len(response.body))
         if not await self._write(sock, connection, response, method):
+            self._note_end(ConnectionEnd.UNDELIVERED, response)
             return False
         return connection.our_state is h11.DONE and connection.their_state is h11.DONE
 
+    def _note_end(self, cause: ConnectionEnd, response: HttpResponse | None = None) -> None:
+        if self._on_end is not None:
+            self._on_end(cause, response)
+
     async def _read_request(
         self, sock: Any, connection: h11.Connection, peer: str, reservation: Reservation
     ) -> HttpRequest | None:
