Don't handle requests that cross the close of an idle connection

Callers saw connections that they had used before end without an answer, although the request had been passed on and had run. An idle connection was shut down by its deadline, or in a planned stop after a look for unread bytes; a request that arrived in between stayed readable, was read by the task that waits for the next one and passed on, and its answer could no longer be written.

Closing takes the connection out of the idle ones first, and what is read from it afterwards is not handled, so the caller sees a close that its request crossed, and may send it again. The idle timeout also looks for unread bytes first, as the planned stop did: such a request is answered.

--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -113,16 +113,11 @@
         self._close_after_response = True
 
     async def drain(self) -> None:
-        """Close idle connections at once, and the others after their current response.
-
-        A connection with an unread request in its receive buffer is not idle.
-        """
+        """Close idle connections at once, and the others after their current response."""
         self._close_after_response = True
         self._draining = True
         for sock in list(self._idle):
-            if not is_readable(sock):
-                self._note_end(ConnectionEnd.DRAINED)
-                await _shut_down(sock)
+            await self._close_idle(sock, ConnectionEnd.DRAINED)
 
     async def serve(self, sock: Any, address: tuple[str, int]) -> None:
         """Serve one connection until it closes."""
@@ -155,8 +150,20 @@
             now = time.monotonic()
             for sock in [sock for sock, deadline in self._deadlines.items() if deadline <= now]:
                 if sock in self._idle:
-                    self._note_end(ConnectionEnd.IDLE)
-                await _shut_down(sock)
+                    await self._close_idle(sock, ConnectionEnd.IDLE)
+                else:
+                    await _shut_down(sock)
+
+    async def _close_idle(self, sock: Any, cause: ConnectionEnd) -> None:
+        """Shut down an idle connection, unless an unread request is in its receive buffer.
+
+        A request that arrives from then on is not handled, since it could not be answered.
+        """
+        if is_readable(sock):
+            return
+        self._idle.discard(sock)
+        self._note_end(cause)
+        await _shut_down(sock)
 
     async def _refuse(self, sock: Any) -> None:
         """Respond with 503 and close the connection, without waiting for a request."""
@@ -252,9 +259,12 @@
         self._idle.add(sock)
         self._deadlines[sock] = time.monotonic() + self._limits.idle_seconds
         data = await sock.recv(_READ_BYTES)
+        closed_here = sock not in self._idle
         self._idle.discard(sock)
         self._deadlines.pop(sock, None)
-        if not data:
+        if closed_here and data:
+            self._note_end(ConnectionEnd.CROSSED)
+        if closed_here or not data:
             return False
         connection.receive_data(data)
         return True
