Split attempts at targets from the forwarder

Selection, the call and what an answer tells about a target are one step now, TargetAttempts, which changes nothing in a request's state but its attempted targets; the forwarder counts what was sent and decides on retries and the final answer. No change of behaviour: the pairs of log lines are the same.

--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -10,8 +10,7 @@
 
 if TYPE_CHECKING:
     from carawayquay.forwarding import CallerRequest, TargetAnswer
-    from carawayquay.placement import Placement
-    from carawayquay_gateway.exchanges import Exchange
+    from carawayquay_gateway.exchanges import Attempt, Exchange
     from carawayquay_gateway.state import GatewayState
     from carawayquay_wire.connection_ends import ConnectionEnd
     from carawayquay_wire.http import HttpResponse
@@ -36,7 +35,7 @@
         self._state = state
 
     def from_target(
-        self, exchange: Exchange, placed: Placement, answer: TargetAnswer
+        self, exchange: Exchange, attempt: Attempt, answer: TargetAnswer
     ) -> HttpResponse:
         """Return the caller's answer for a target's answer, and log it with its latency."""
         seconds = exchange.elapsed(self._state.clock.now())
@@ -48,20 +47,15 @@
             service=exchange.service,
             version=exchange.version,
             key=exchange.call.object_key,
-            target=placed.target.name,
-            domain=placed.target.domain,
             status=answer.status,
             ms=int(seconds * 1000),
-            wait_ms=int(placed.wait * 1000),
-            work_ms=int(placed.work * 1000),
-            warm=placed.warm,
-            running=self._state.running(placed.target.name),
             sent=exchange.sent,
+            **self._attempt_fields(attempt),
             **self._limit_fields(exchange),
         )
         return headers.caller_response(answer)
 
-    def log_failed_attempt(self, exchange: Exchange, placed: Placement, outcome: str) -> None:
+    def log_failed_attempt(self, exchange: Exchange, attempt: Attempt, outcome: str) -> None:
         """Log and count an attempt that gave no final answer.
 
         :param outcome: reason of the failure, as it appears in logs and metrics
@@ -71,14 +65,9 @@
             Event.REQUEST_RETRIED,
             id=exchange.call.request_id,
             version=exchange.version,
-            target=placed.target.name,
-            domain=placed.target.domain,
             outcome=outcome,
             ms=int(exchange.elapsed(self._state.clock.now()) * 1000),
-            wait_ms=int(placed.wait * 1000),
-            work_ms=int(placed.work * 1000),
-            warm=placed.warm,
-            running=self._state.running(placed.target.name),
+            **self._attempt_fields(attempt),
             **self._limit_fields(exchange),
         )
 
@@ -140,6 +129,19 @@
                 cause=cause.value,
             )
 
+    def _attempt_fields(self, attempt: Attempt) -> dict[str, object]:
+        """Return the log pairs that describe an attempt, with the VM through which it went."""
+        fields = {
+            "target": attempt.target,
+            "domain": attempt.domain,
+            "wait_ms": int(attempt.wait * 1000),
+            "work_ms": int(attempt.work * 1000),
+            "warm": attempt.warm,
+        }
+        if attempt.peer:
+            return fields | {"peer": attempt.peer}
+        return fields | {"running": self._state.running(attempt.target)}
+
     def _limit_fields(self, exchange: Exchange) -> dict[str, object]:
         """Return the log pairs that name the limit which kept a request from a target, if any."""
         reached = exchange.limit_reached
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -29,6 +29,8 @@
 from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
 from carawayquay_gateway.state import GatewayState
 from carawayquay_gateway.summaries import SummaryExchange
+from carawayquay_gateway.target_attempts import TargetAttempts
+from carawayquay_gateway.target_calls import TargetCaller
 from carawayquay_gateway.watcher import Watcher
 from carawayquay_platform.store import PlatformStoreClient
 from carawayquay_wire.body_budget import BodyBudget
@@ -104,7 +106,9 @@
         self._peers = PeerExchange(self._state, crashes, warm, self._summaries, generator)
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
-        self._forwarder = Forwarder(self._state, selection, crashes, warm, round_trips, generator)
+        target_caller = TargetCaller(self._state, crashes, round_trips)
+        attempts = TargetAttempts(self._state, selection, target_caller, crashes, warm)
+        self._forwarder = Forwarder(self._state, attempts, crashes, generator)
         self._connections = int(settings.descriptors * _CALLERS_SHARE)
         limits = HttpLimits(connections=self._connections)
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_SHARE))
--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -1,4 +1,4 @@
-"""State of a caller's request in flight."""
+"""State of a caller's request in flight, and of its attempts at targets."""
 
 from __future__ import annotations
 
@@ -14,14 +14,84 @@
     from carawayquay.routes import Route
     from carawayquay.target_limits import LimitReached
 
-__all__ = ["Exchange", "FailureAnswer"]
+__all__ = ["Answered", "Attempt", "AttemptEnd", "Exchange", "FailureAnswer", "Unanswered"]
+
+
+@attrs.frozen
+class Answered:
+    """A target's complete answer, and the seconds until it had arrived."""
+
+    answer: TargetAnswer
+    seconds: float
+
+    @property
+    def ran(self) -> bool:
+        """Whether the target may have run the request."""
+        return not (self.answer.not_run or self.answer.address_reused)
+
+
+@attrs.frozen
+class Unanswered:
+    """A call without a complete answer.
+
+    :param sent: whether the target may have received the request
+    :param timed_out: whether the call timed out
+    """
+
+    sent: bool
+    timed_out: bool
+
+    @property
+    def outcome(self) -> str:
+        """The value of `outcome` in logs and metrics."""
+        if not self.sent:
+            return "unreachable"
+        return "timeout" if self.timed_out else "broken"
+
+
+@attrs.frozen
+class Attempt:
+    """One attempt of a request at a target.
+
+    :param target: the target's name, empty if the VM that chose it did not say
+    :param domain: the target's failure domain
+    :param wait: expected queueing time in seconds
+    :param work: expected service time in seconds
+    :param warm: whether the target is known to be warm for the object
+    :param peer: the VM through which the request was sent, empty if it was sent directly
+    """
+
+    target: str
+    domain: str
+    wait: float
+    work: float
+    warm: bool
+    peer: str = ""
+
+    @classmethod
+    def at(cls, placed: Placement) -> Attempt:
+        """Return an attempt at the target that was chosen."""
+        target = placed.target
+        return cls(target.name, target.domain, placed.wait, placed.work, placed.warm)
+
+
+@attrs.frozen
+class AttemptEnd:
+    """An attempt with its result.
+
+    :param limit_reached: the limit that kept the request from a better target, or None
+    """
+
+    attempt: Attempt
+    result: Answered | Unanswered
+    limit_reached: LimitReached | None = None
 
 
 @attrs.frozen
 class FailureAnswer:
     """A target's answer with a failure status, returned if no other target succeeds."""
 
-    placed: Placement
+    attempt: Attempt
     answer: TargetAnswer
 
 
@@ -34,6 +104,7 @@
     :param deadline: when the final answer is due
     :param fingerprint: hash by which equal requests are recognised
     :param tried_targets: names of the targets that were attempted, reached or not
+    :param unreachable_targets: names of those to which no connection could be opened
     :param sent: number of targets that may have received the request
     :param may_have_run: whether a target may have started to run it
     :param target_failure: the last answer with a failure status that was withheld for a retry
@@ -48,6 +119,7 @@
     deadline: timedelta
     fingerprint: int
     tried_targets: set[str] = attrs.field(factory=set)
+    unreachable_targets: set[str] = attrs.field(factory=set)
     sent: int = 0
     may_have_run: bool = False
     target_failure: FailureAnswer | None = None
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -7,28 +7,32 @@
 
 import curio
 
-from carawayquay.crash_counts import CrashCounts, request_fingerprint
+from carawayquay.crash_counts import request_fingerprint
 from carawayquay.errors import ErrorKind
-from carawayquay.placement import NoCapacity, Placement
+from carawayquay.placement import NoCapacity
 from carawayquay.retry_times import limited_retry_after, retry_after
 from carawayquay.routes import UnreadRoutes
 from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.answers import CallerAnswers
-from carawayquay_gateway.exchanges import Exchange, FailureAnswer
-from carawayquay_gateway.observations import Observations
-from carawayquay_gateway.target_calls import Answered, TargetCaller, Unanswered
+from carawayquay_gateway.exchanges import (
+    Answered,
+    Attempt,
+    AttemptEnd,
+    Exchange,
+    FailureAnswer,
+    Unanswered,
+)
 from carawayquay_platform import headers
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
     from random import Random
 
+    from carawayquay.crash_counts import CrashCounts
     from carawayquay.forwarding import CallerRequest
     from carawayquay.routes import Route
-    from carawayquay.warm_gossip import WarmGossip
-    from carawayquay_gateway.round_trips import RoundTrips
-    from carawayquay_gateway.selection import Selection
     from carawayquay_gateway.state import GatewayState
+    from carawayquay_gateway.target_attempts import TargetAttempts
     from carawayquay_wire.connection_ends import ConnectionEnd
     from carawayquay_wire.http import HttpRequest, HttpResponse
 
@@ -60,18 +64,14 @@
     def __init__(
         self,
         state: GatewayState,
-        selection: Selection,
+        attempts: TargetAttempts,
         crashes: CrashCounts,
-        warm: WarmGossip,
-        round_trips: RoundTrips,
         random: Random,
     ) -> None:
         self._state = state
-        self._selection = selection
+        self._attempts = attempts
         self._crashes = crashes
         self._random = random
-        self._targets = TargetCaller(state, crashes, round_trips)
-        self._observations = Observations(state, warm)
         self._answers = CallerAnswers(state)
         self._service_choices: dict[str, tuple[Route, WeightedChoice]] = {}
         self._active = 0
@@ -136,7 +136,7 @@
             )
         service = self._service_choice(route).next()
         state.service(service).count_request(now, route.priority)
-        self._selection.count_request()
+        self._attempts.count_request()
         remaining = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
         deadline = now + remaining - _ANSWER_MARGIN
         fingerprint = request_fingerprint(call)
@@ -159,27 +159,30 @@
             now = self._state.clock.now()
             if exchange.remaining(now) <= 0:
                 return self._deadline_error(exchange)
-            match self._select(exchange, now):
+            match await self._attempts.run(exchange):
                 case NoCapacity() as refused:
                     exchange.limit_reached = refused.limit_reached
                     return self._final_error(exchange, refused.wait)
-                case Placement() as placed:
-                    exchange.limit_reached = placed.limit_reached
-                    answer = await self._send(exchange, placed)
+                case AttemptEnd() as end:
+                    answer = self._handle_end(exchange, end)
             if answer is not None:
                 return answer
             if not self._take_retry(exchange):
                 return self._final_error(exchange, _RETRY_WAIT)
 
-    def _select(self, exchange: Exchange, now: timedelta) -> Placement | NoCapacity:
-        return self._selection.select(
-            exchange.route,
-            exchange.service,
-            exchange.call.object_key,
-            exchange.elapsed(now),
-            exchange.remaining(now),
-            exchange.tried_targets,
-        )
+    def _handle_end(self, exchange: Exchange, end: AttemptEnd) -> HttpResponse | None:
+        """Return the caller's answer after an attempt, or None to try another target."""
+        exchange.limit_reached = end.limit_reached
+        match end.result:
+            case Unanswered() as unanswered:
+                if unanswered.sent:
+                    exchange.sent += 1
+                    exchange.may_have_run = True
+                self._answers.log_failed_attempt(exchange, end.attempt, unanswered.outcome)
+                return None
+            case Answered() as answered:
+                exchange.sent += 1
+                return self._handle_answer(exchange, end.attempt, answered)
 
     def _take_retry(self, exchange: Exchange) -> bool:
         """Return whether a request may be sent to another target, and charge the retry budget.
@@ -200,48 +203,22 @@
         self._state.metrics.count("retries_total", service=exchange.service)
         return True
 
-    async def _send(self, exchange: Exchange, placed: Placement) -> HttpResponse | None:
-        """Send a request to one target; return the caller's answer, or None to try another."""
-        target = placed.target
-        remaining = exchange.deadline - self._state.clock.now()
-        request = headers.target_request(exchange.call, target.name, remaining)
-        ran_before = exchange.may_have_run
-        exchange.tried_targets.add(target.name)
-        exchange.sent += 1
-        exchange.may_have_run = True
-        match await self._targets.call(target, request, remaining, exchange.fingerprint):
-            case Unanswered() as unanswered:
-                if not unanswered.sent:
-                    exchange.sent -= 1
-                    exchange.may_have_run = ran_before
-                self._answers.log_failed_attempt(exchange, placed, unanswered.outcome)
-                return None
-            case Answered() as answered:
-                if answered.answer.not_run or answered.answer.address_reused:
-                    exchange.may_have_run = ran_before
-                return self._handle_answer(exchange, placed, answered)
-
     def _handle_answer(
-        self, exchange: Exchange, placed: Placement, answered: Answered
+        self, exchange: Exchange, attempt: Attempt, answered: Answered
     ) -> HttpResponse | None:
-        """Record a target's answer; return the caller's answer, or None to try another target."""
-        now = self._state.clock.now()
+        """Return the caller's answer after a target's, or None to try another target."""
         answer = answered.answer
-        stats = self._state.stats(placed.target.name)
-        if answer.not_run or answer.address_reused:
-            stats.shed(now)
-            self._answers.log_failed_attempt(exchange, placed, f"not-run-{answer.status}")
+        if not answered.ran:
+            self._answers.log_failed_attempt(exchange, attempt, f"not-run-{answer.status}")
             return None
-        self._crashes.record_completion(exchange.fingerprint)
-        if answer.status < _SERVER_ERROR:
-            self._observations.record(exchange, placed, answered)
-            return self._answers.from_target(exchange, placed, answer)
-        stats.shed(now)
-        if exchange.route.idempotent and exchange.remaining(now) > placed.work:
-            exchange.target_failure = FailureAnswer(placed, answer)
-            self._answers.log_failed_attempt(exchange, placed, f"status-{answer.status}")
+        exchange.may_have_run = True
+        remaining = exchange.remaining(self._state.clock.now())
+        failed = answer.status >= _SERVER_ERROR
+        if failed and exchange.route.idempotent and remaining > attempt.work:
+            exchange.target_failure = FailureAnswer(attempt, answer)
+            self._answers.log_failed_attempt(exchange, attempt, f"status-{answer.status}")
             return None
-        return self._answers.from_target(exchange, placed, answer)
+        return self._answers.from_target(exchange, attempt, answer)
 
     def _deadline_error(self, exchange: Exchange) -> HttpResponse:
         """Return the final answer after the deadline."""
@@ -255,8 +232,8 @@
         """
         now = self._state.clock.now()
         if exchange.target_failure is not None:
-            target_failure = exchange.target_failure
-            return self._answers.from_target(exchange, target_failure.placed, target_failure.answer)
+            failure = exchange.target_failure
+            return self._answers.from_target(exchange, failure.attempt, failure.answer)
         if exchange.may_have_run:
             if exchange.remaining(now) <= 0:
                 return self._deadline_error(exchange)
--- a/packages/gateway/src/carawayquay_gateway/observations.py
+++ b/packages/gateway/src/carawayquay_gateway/observations.py
@@ -9,9 +9,8 @@
 if TYPE_CHECKING:
     from carawayquay.placement import Placement
     from carawayquay.warm_gossip import WarmGossip
-    from carawayquay_gateway.exchanges import Exchange
+    from carawayquay_gateway.exchanges import Answered, Exchange
     from carawayquay_gateway.state import GatewayState
-    from carawayquay_gateway.target_calls import Answered
 
 __all__ = ["Observations"]
 
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -6,9 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import attrs
 import curio
 
+from carawayquay_gateway.exchanges import Answered, Unanswered
 from carawayquay_platform import headers
 from carawayquay_wire.body_budget import BodyBudget
 from carawayquay_wire.dialing import dial
@@ -24,7 +24,7 @@
     from carawayquay_gateway.state import GatewayState
     from carawayquay_wire.http import HttpRequest
 
-__all__ = ["Answered", "TargetCaller", "Unanswered"]
+__all__ = ["TargetCaller"]
 
 _log = EventLog("targets")
 
@@ -49,33 +49,6 @@
 _BYTES_IN_MB = 1_000_000
 
 
-@attrs.frozen
-class Answered:
-    """A target's complete answer, and the seconds until it had arrived."""
-
-    answer: TargetAnswer
-    seconds: float
-
-
-@attrs.frozen
-class Unanswered:
-    """A call without a complete answer.
-
-    :param sent: whether the target may have received the request
-    :param timed_out: whether the call timed out
-    """
-
-    sent: bool
-    timed_out: bool
-
-    @property
-    def outcome(self) -> str:
-        """The value of `outcome` in logs and metrics."""
-        if not self.sent:
-            return "unreachable"
-        return "timeout" if self.timed_out else "broken"
-
-
 class TargetCaller:
     """Calls targets over pooled keep-alive connections."""
 
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -19,6 +19,8 @@
 from carawayquay_gateway.selection import Selection
 from carawayquay_gateway.settings import GatewaySettings, parse_gateway_settings
 from carawayquay_gateway.state import GatewayState
+from carawayquay_gateway.target_attempts import TargetAttempts
+from carawayquay_gateway.target_calls import TargetCaller
 from carawayquay_platform.object_changes import ObjectListing
 from carawayquay_platform.objects import ObjectKind, parse_object
 from carawayquay_wire.http import HttpRequest
@@ -156,8 +158,10 @@
     round_trips = RoundTrips(state.settings.domain, state.settings.regions)
     generator = random.Random(1)
     selection = Selection(state, round_trips, generator)
-    forwarder = Forwarder(state, selection, CrashCounts(), WarmGossip(), round_trips, generator)
-    return forwarder, state
+    crashes = CrashCounts()
+    caller = TargetCaller(state, crashes, round_trips)
+    attempts = TargetAttempts(state, selection, caller, crashes, WarmGossip())
+    return Forwarder(state, attempts, crashes, generator), state
 
 
 def request(method="GET", path="/reports/7", body=b"", request_id="a1", left_ms=1000, **headers):
