Find out whether a VM is cut off from all targets, and draw no conclusions from it

Callers saw requests refused as crashes-targets, everywhere, after one VM had lost its links to targets: a connection that broke, at a target that took no new one, counted as a crash by the request, and other VMs heard of it. Targets that could not be reached counted as restarted and cold.

When calls to two targets fail, or several targets with requests in flight are silent for half a second, the VM opens connections to up to four targets of as many failure domains, its own first; only if all fail it counts as cut off, until a probe reaches one. Crashes and restarts are charged only where another target was reached since. Calls that may be repeated are given up when nothing answers on open connections either. Probes are counted, and targets-unreachable and targets-reached tell when and why.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -22,6 +22,7 @@
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.lookups import LookupApi
 from carawayquay_gateway.peers import PeerExchange
+from carawayquay_gateway.reach_prober import ReachProber
 from carawayquay_gateway.registrar import VMRegistrar
 from carawayquay_gateway.reload import SettingsReloader, log_problems
 from carawayquay_gateway.round_trips import RoundTrips
@@ -44,6 +45,7 @@
 
 if TYPE_CHECKING:
     from carawayquay.membership import Address
+    from carawayquay.routes import TrafficLimits
 
 __all__ = ["Gateway", "run"]
 
@@ -106,8 +108,9 @@
         self._peers = PeerExchange(self._state, crashes, warm, self._summaries, generator)
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
-        target_caller = TargetCaller(self._state, crashes, round_trips)
-        attempts = TargetAttempts(self._state, selection, target_caller, crashes, warm)
+        self._prober = ReachProber(self._state, generator)
+        self._target_caller = TargetCaller(self._state, crashes, round_trips, self._prober)
+        attempts = TargetAttempts(self._state, selection, self._target_caller, crashes, warm)
         self._forwarder = Forwarder(self._state, attempts, crashes, generator)
         self._connections = int(settings.descriptors * _CALLERS_SHARE)
         limits = HttpLimits(connections=self._connections)
@@ -152,6 +155,7 @@
             await group.spawn(ConfigurationSync(self._state).run)
             await group.spawn(self._registrar.run)
             await group.spawn(self._update_state)
+            await group.spawn(self._prober.run, self._target_caller.abandon_calls)
             await group.spawn(self._flush_output)
             await group.spawn(SettingsReloader(self._state, self._path).run, ReloadSignal())
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
@@ -171,19 +175,21 @@
             configuration = self._state.configuration
             if configuration is not None and configuration is not applied:
                 applied = configuration
-                limits = configuration.limits
-                self._caller_server.set_limits(
-                    HttpLimits(
-                        header_bytes=limits.header_bytes,
-                        body_bytes=limits.body_bytes,
-                        body_seconds=_BODY_SECONDS,
-                        header_seconds=limits.header_timeout.total_seconds(),
-                        idle_seconds=limits.idle_timeout.total_seconds(),
-                        connections=self._connections,
-                    )
-                )
+                self._set_limits(configuration.limits)
             await self._state.ticker.next()
 
+    def _set_limits(self, limits: TrafficLimits) -> None:
+        """Apply the limits of a configuration to the server of callers."""
+        callers = HttpLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            body_seconds=_BODY_SECONDS,
+            header_seconds=limits.header_timeout.total_seconds(),
+            idle_seconds=limits.idle_timeout.total_seconds(),
+            connections=self._connections,
+        )
+        self._caller_server.set_limits(callers)
+
     async def _flush_output(self) -> None:
         while True:
             self._output.flush()
@@ -207,9 +213,14 @@
             await curio.sleep(_LOOKUP_EXPIRY.total_seconds())
             await self._caller_listener.close()
             await self._caller_server.drain()
-            while self._caller_server.open_connections > 0 or self._forwarder.active > 0:
+            while self._busy:
                 await curio.sleep(_STOP_POLL_SECONDS)
 
+    @property
+    def _busy(self) -> bool:
+        """Whether callers still have connections or requests here."""
+        return self._caller_server.open_connections + self._forwarder.active > 0
+
 
 def _listener(address: Address, handle: object) -> Listener:
     """Return a listener for a handler that answers without waiting."""
--- /dev/null
+++ b/packages/gateway/src/carawayquay_gateway/reach_prober.py
@@ -0,0 +1,125 @@
+"""Finds out whether this VM is cut off from all targets, by opening connections to some of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from carawayquay.discovery import TargetState
+from carawayquay.target_reach import ProbeCause, probe_candidates
+from carawayquay_wire.dialing import dial
+from carawayquay_wire.events import Event, EventLog
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+    from datetime import timedelta
+    from random import Random
+
+    from carawayquay.discovery import RegisteredTarget
+    from carawayquay.membership import Address
+    from carawayquay.target_reach import ReachChange
+    from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.dialing import Dialer
+
+__all__ = ["ReachProber"]
+
+_log = EventLog("reach")
+
+#: Connect timeout of a probe, several round trips between regions.
+_CONNECT_SECONDS = 0.3
+
+#: Number of targets in a probe: those of the first step, and all. The second step is needed only
+#: if nothing was reached in the first.
+_FIRST_TARGETS = 1
+_ALL_TARGETS = 4
+
+#: Number of targets without which nothing can be concluded from a probe.
+_MIN_TARGETS = 2
+
+
+class ReachProber:
+    """Probes targets when calls fail or nothing answers, and while this VM is cut off."""
+
+    def __init__(self, state: GatewayState, random: Random, dialer: Dialer = dial) -> None:
+        self._state = state
+        self._random = random
+        self._dial = dialer
+        self._probing = curio.Lock()
+
+    async def run(self, abandon_calls: Callable[[], Awaitable[None]]) -> None:
+        """Probe whenever it is due, until cancelled.
+
+        :param abandon_calls: called when targets don't answer on open connections either
+        """
+        reach = self._state.reach
+        was_cut_off = False
+        while True:
+            now = self._state.clock.now()
+            reach.note_waiting(len(self._state.own_in_flight()), now)
+            cause = reach.probe_due(now)
+            if cause is not None:
+                await self._probe(cause)
+            if reach.cut_off and not was_cut_off and not reach.answering(self._state.clock.now()):
+                await abandon_calls()
+            was_cut_off = reach.cut_off
+            await self._state.ticker.next()
+
+    async def reaches_targets(self, since: timedelta) -> bool:
+        """Return whether this VM reaches targets; probe them unless one was reached lately.
+
+        :param since: the moment from which an answer or a connection shows that it does
+        """
+        if self._state.reach.cut_off:
+            return False
+        if self._state.reach.reached_since(since):
+            return True
+        await self._probe(ProbeCause.FAILURES)
+        return not self._state.reach.cut_off
+
+    async def _probe(self, cause: ProbeCause) -> None:
+        async with self._probing:
+            targets = self._candidates()
+            if len(targets) < _MIN_TARGETS:
+                return
+            reached = await self._any_accepts(targets[:_FIRST_TARGETS])
+            if not reached:
+                reached = await self._any_accepts(targets[_FIRST_TARGETS:])
+            change = self._state.reach.record_probe(reached=reached, now=self._state.clock.now())
+        self._state.metrics.count("reach_probes_total", cause=cause.value)
+        if change is not None:
+            self._log(change, targets)
+
+    def _candidates(self) -> list[RegisteredTarget]:
+        ready = [it for it in self._state.targets if it.state is TargetState.READY]
+        return probe_candidates(ready, self._state.settings.domain, _ALL_TARGETS, self._random)
+
+    async def _any_accepts(self, targets: list[RegisteredTarget]) -> bool:
+        """Return whether any target accepts a connection."""
+        if not targets:
+            return False
+        async with curio.TaskGroup(wait=object) as group:
+            for target in targets:
+                await group.spawn(self._accepts, target.address)
+        return group.completed is not None
+
+    async def _accepts(self, address: Address) -> bool | None:
+        """Return True if a target accepts a connection, else None."""
+        try:
+            sock = await curio.timeout_after(_CONNECT_SECONDS, self._dial, address)
+        except (OSError, curio.TaskTimeout):
+            return None
+        await sock.close()
+        return True
+
+    def _log(self, change: ReachChange, probed: list[RegisteredTarget]) -> None:
+        after_ms = int(change.after.total_seconds() * 1000)
+        if change.cut_off:
+            _log.warning(
+                Event.TARGETS_UNREACHABLE,
+                silent_ms=after_ms,
+                answering=change.answering,
+                probed=",".join(target.name for target in probed),
+            )
+        else:
+            _log.info(Event.TARGETS_REACHED, cut_off_ms=after_ms)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -17,6 +17,7 @@
 from carawayquay.local_share import RegionLoad
 from carawayquay.store_watch import must_watch_store
 from carawayquay.target_limits import FleetView, ServiceLoad, TargetLimits
+from carawayquay.target_reach import TargetReach
 from carawayquay.target_stats import TargetStats
 from carawayquay.warm_objects import WarmObjects
 from carawayquay_gateway.limit_recorder import LimitRecorder
@@ -86,6 +87,7 @@
         self.targets = TargetRegistry()
         self.evacuated = Evacuations()
         self.peers = EntryPeers(identity)
+        self.reach = TargetReach(clock.now())
         self.cold_rates = ColdRequestRates()
         self.idle_timeouts = IdleTimeouts()
         self.warm_objects = WarmObjects()
--- a/packages/gateway/src/carawayquay_gateway/state_dump.py
+++ b/packages/gateway/src/carawayquay_gateway/state_dump.py
@@ -22,6 +22,7 @@
     return {
         "vm": state.identity.name,
         "stopping": state.stopping,
+        **({"cut_off": True} if state.reach.cut_off else {}),
         "configuration": state.configuration.version if state.configuration else None,
         "remarks": {str(remark): times for remark, times in state.remarks},
         "refused_objects": state.object_applier.refused,
--- a/packages/gateway/src/carawayquay_gateway/target_attempts.py
+++ b/packages/gateway/src/carawayquay_gateway/target_attempts.py
@@ -53,7 +53,13 @@
         remaining = exchange.deadline - self._state.clock.now()
         request = headers.target_request(exchange.call, target.name, remaining)
         exchange.tried_targets.add(target.name)
-        result = await self._caller.call(target, request, remaining, exchange.fingerprint)
+        result = await self._caller.call(
+            target,
+            request,
+            remaining,
+            exchange.fingerprint,
+            repeatable=exchange.route.idempotent,
+        )
         if isinstance(result, Answered):
             self._record(exchange, placed, result)
         elif not result.sent:
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -20,8 +20,10 @@
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.forwarding import TargetAnswer
     from carawayquay.membership import Address
+    from carawayquay_gateway.reach_prober import ReachProber
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.state import GatewayState
+    from carawayquay_wire.dialing import Dialer
     from carawayquay_wire.http import HttpRequest
 
 __all__ = ["TargetCaller"]
@@ -52,8 +54,17 @@
 class TargetCaller:
     """Calls targets over pooled keep-alive connections."""
 
-    def __init__(self, state: GatewayState, crashes: CrashCounts, round_trips: RoundTrips) -> None:
+    def __init__(
+        self,
+        state: GatewayState,
+        crashes: CrashCounts,
+        round_trips: RoundTrips,
+        prober: ReachProber,
+        dialer: Dialer = dial,
+    ) -> None:
         self._state = state
+        self._prober = prober
+        self._dial = dialer
         self._crashes = crashes
         self._round_trips = round_trips
         self._domains: dict[Address, str] = {}
@@ -65,16 +76,29 @@
             self._record_connect,
             _CONNECT_SECONDS,
             self._answer_budget,
+            dialer,
         )
         state.metrics.gauge("answer_bytes", lambda: float(self._answer_budget.used))
 
+    async def abandon_calls(self) -> None:
+        """End the calls that may be repeated, and close idle connections, to all targets."""
+        await self._http.abandon()
+        await self._http.close()
+
     async def call(
-        self, target: RegisteredTarget, request: HttpRequest, remaining: timedelta, fingerprint: int
+        self,
+        target: RegisteredTarget,
+        request: HttpRequest,
+        remaining: timedelta,
+        fingerprint: int,
+        *,
+        repeatable: bool,
     ) -> Answered | Unanswered:
         """Send a request to a target.
 
         :param remaining: time until the deadline of the request
         :param fingerprint: hash of the request, to count crashes of targets by request
+        :param repeatable: whether the request may be sent again after the call was abandoned
         """
         stats = self._state.stats(target.name)
         started = self._state.clock.now()
@@ -88,6 +112,7 @@
                 remaining.total_seconds(),
                 max_idle=self._state.idle_timeouts.max_idle(target.name, target.service, started),
                 response_matches=headers.response_matches,
+                abandonable=repeatable,
             )
         except HttpError as failure:
             unanswered = Unanswered(failure.sent, failure.timed_out)
@@ -97,6 +122,7 @@
             return unanswered
         finally:
             stats.running -= 1
+        self._state.reach.record_answer(self._state.clock.now())
         answer = headers.parse_response(response)
         self._state.limit_recorder.record(target, answer, started)
         await self._record_answer(target, answer)
@@ -130,14 +156,24 @@
     async def _record_failure(
         self, target: RegisteredTarget, unanswered: Unanswered, fingerprint: int
     ) -> None:
-        """Record a call without a complete answer; check for a crash if the connection broke."""
+        """Record a call without a complete answer; check for a crash if the connection broke.
+
+        While this VM is cut off from all targets, failures say nothing about the target.
+        """
+        reach = self._state.reach
+        if unanswered.sent:
+            reach.record_broken(target.name)
+        else:
+            reach.record_unopened(target.name)
+        if reach.cut_off:
+            return
         now = self._state.clock.now()
         self._state.stats(target.name).failed(now)
         if not unanswered.sent:
-            self._mark_cold(target, now)
+            await curio.spawn(self._check_unreachable, target, now, daemon=True)
         elif not unanswered.timed_out:
             await self._http.drop_idle(target.address)
-            await curio.spawn(self._check_crash, target, fingerprint, daemon=True)
+            await curio.spawn(self._check_crash, target, fingerprint, now, daemon=True)
 
     def _mark_cold(self, target: RegisteredTarget, now: timedelta) -> None:
         """Mark an unreachable or crashed target as cold, as it will be when it is back."""
@@ -146,10 +182,19 @@
         if spec is not None:
             self._state.targets.mark_cold(target.name, spec.cold_start, now)
 
-    async def _check_crash(self, target: RegisteredTarget, fingerprint: int) -> None:
-        """Count a crash and eject the target if it accepts no new connection."""
+    async def _check_unreachable(self, target: RegisteredTarget, failed_at: timedelta) -> None:
+        """Mark an unreachable target as cold, unless this VM is cut off from all targets."""
+        if await self._prober.reaches_targets(failed_at):
+            self._mark_cold(target, self._state.clock.now())
+
+    async def _check_crash(
+        self, target: RegisteredTarget, fingerprint: int, failed_at: timedelta
+    ) -> None:
+        """Count a crash and eject the target if it alone accepts no new connection."""
         if await self._accepts_connections(target.address):
             return
+        if not await self._prober.reaches_targets(failed_at):
+            return
         now = self._state.clock.now()
         count = self._crashes.record_crash(fingerprint, now)
         self._state.stats(target.name).ejected_until = now + _CRASH_EJECTION
@@ -172,7 +217,7 @@
         for _ in range(_MAX_PROBES):
             try:
                 async with curio.timeout_after(_PROBE_CONNECT_SECONDS):
-                    sock = await dial(address)
+                    sock = await self._dial(address)
             except ConnectionResetError:
                 await curio.sleep(_PROBE_HOLD_SECONDS)
                 continue
@@ -186,6 +231,7 @@
         return True
 
     def _record_connect(self, address: Address, seconds: float) -> None:
+        self._state.reach.record_connect(self._state.clock.now())
         self._state.metrics.count("target_connections_total")
         domain = self._domains.get(address)
         if domain is not None:
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -15,6 +15,7 @@
 from carawayquay.store_revision import StoreRevision
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_gateway.forwarder import Forwarder
+from carawayquay_gateway.reach_prober import ReachProber
 from carawayquay_gateway.round_trips import RoundTrips
 from carawayquay_gateway.selection import Selection
 from carawayquay_gateway.settings import GatewaySettings, parse_gateway_settings
@@ -159,7 +160,7 @@
     generator = random.Random(1)
     selection = Selection(state, round_trips, generator)
     crashes = CrashCounts()
-    caller = TargetCaller(state, crashes, round_trips)
+    caller = TargetCaller(state, crashes, round_trips, ReachProber(state, generator))
     attempts = TargetAttempts(state, selection, caller, crashes, WarmGossip())
     return Forwarder(state, attempts, crashes, generator), state
 
--- a/packages/wire/src/carawayquay_wire/dialing.py
+++ b/packages/wire/src/carawayquay_wire/dialing.py
@@ -8,8 +8,12 @@
 from curio.io import Socket
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from carawayquay.membership import Address
 
+    Dialer = Callable[[Address], Awaitable[Socket]]
+
 __all__ = ["dial"]
 
 
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -50,6 +50,8 @@
     TARGET_LIMITED = "target-limited"
     TARGET_LIMIT_ENDED = "target-limit-ended"
     LIMIT_NOT_UNDERSTOOD = "limit-not-understood"
+    TARGETS_UNREACHABLE = "targets-unreachable"
+    TARGETS_REACHED = "targets-reached"
     REQUEST_QUARANTINED = "request-quarantined"
     SHARD_TAKEN = "shard-taken"
     SHARD_SEALED = "shard-sealed"
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -25,6 +25,7 @@
     from carawayquay.clock import Clock
     from carawayquay.membership import Address
     from carawayquay_wire.body_budget import Reservation
+    from carawayquay_wire.dialing import Dialer
 
     ResponseMatcher = Callable[[HttpRequest, HttpResponse, bool], bool]
 
@@ -152,6 +153,11 @@
         with suppress(OSError):
             await self._sock.close()
 
+    async def shut_down(self) -> None:
+        """End the connection, also for an exchange that waits for its response."""
+        with suppress(OSError):
+            await self._sock.shutdown(socket.SHUT_RDWR)
+
     async def _send(self, request: HttpRequest) -> None:
         """Send a request, a large body without copying it."""
         head, body = self._encode(request), request.body
@@ -250,6 +256,7 @@
     :param on_dial: called after each successful dial with the address and the seconds it took
     :param dial_seconds: timeout for opening a connection
     :param body_budget: the memory that response bodies share while they are received
+    :param dialer: opens a connection to an address
     """
 
     def __init__(
@@ -259,9 +266,12 @@
         on_dial: Callable[[Address, float], None] | None = None,
         dial_seconds: float = _DIAL_SECONDS,
         body_budget: BodyBudget | None = None,
+        dialer: Dialer = dial,
     ) -> None:
         self._max_body_bytes = max_body_bytes
         self._body_budget = body_budget or BodyBudget(max_body_bytes)
+        self._dialer = dialer
+        self._abandonable: set[HttpConnection] = set()
         self._clock = clock or MonotonicClock()
         self._on_dial = on_dial
         self._dial_seconds = dial_seconds
@@ -277,6 +287,7 @@
         fresh: bool = False,
         max_idle: timedelta = MAX_IDLE_TIME,
         response_matches: ResponseMatcher | None = None,
+        abandonable: bool = False,
     ) -> HttpResponse:
         """Send a request to a server and return its response.
 
@@ -285,6 +296,7 @@
         :param fresh: whether to open a new connection even if an idle one is available
         :param max_idle: how long a reused connection may have been idle
         :param response_matches: as for :meth:`HttpConnection.exchange`
+        :param abandonable: whether :meth:`abandon` ends the exchange
         :raises HttpError: if no complete response within the limits arrives in time
         """
         connection = None if fresh else await self._take_idle(address, max_idle)
@@ -295,6 +307,8 @@
             async with curio.timeout_after(seconds):
                 if connection is None:
                     connection = await self._dial(address)
+                if abandonable:
+                    self._abandonable.add(connection)
                 response = await connection.exchange(request, response_matches)
                 completed = True
                 return response
@@ -306,11 +320,17 @@
             ) from None
         finally:
             if connection is not None:
+                self._abandonable.discard(connection)
                 if completed and connection.reusable:
                     await self._return_to_pool(address, connection)
                 else:
                     await connection.close()
 
+    async def abandon(self) -> None:
+        """End the abandonable exchanges, which fail as if their connections broke."""
+        for connection in list(self._abandonable):
+            await connection.shut_down()
+
     async def close(self) -> None:
         """Close every idle connection."""
         for connections in self._idle.values():
@@ -339,7 +359,7 @@
     async def _dial(self, address: Address) -> HttpConnection:
         started = time.monotonic()
         try:
-            sock = await curio.timeout_after(self._dial_seconds, dial, address)
+            sock = await curio.timeout_after(self._dial_seconds, self._dialer, address)
         except (OSError, curio.TaskTimeout) as error:
             raise HttpError(
                 f"cannot connect to {address}: {error}",
