Send requests through other VMs while a VM reaches no target

Callers of VMs that were cut off from all targets got 503, 504 or nothing until the cut ended: there was no way to a target but the VM's own.

A VM that is cut off, or has found two targets unreachable for one request, sends it to a near VM with few of its requests in flight, with the service, version, elapsed and remaining time that it decided by. That VM chooses the target by its own knowledge, so limits, cold rates, evacuations, removed targets and homes hold there; it sends the request to one target and never to a third VM, and says whether a target may have received it. The first VM keeps count of attempts, retries, budgets and the deadline. Reports say whether a VM is cut off, without which their bytes are as before.

--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -158,6 +158,15 @@
                 found[peer.identity.name] = peer.identity
         return list(found.values())
 
+    def forwarding_vms(self, now: timedelta) -> list[VMIdentity]:
+        """Return the live VMs that are neither leaving nor known to be cut off from targets."""
+        return [vm for vm in self.live_vms(now) if not self._reports_cut_off(vm)]
+
+    def _reports_cut_off(self, vm: VMIdentity) -> bool:
+        peer = self._peers.get(vm.name)
+        same_start = peer is not None and peer.identity.incarnation == vm.incarnation
+        return same_start and peer.report is not None and peer.report.cut_off
+
     def get(self, name: str) -> Peer | None:
         """Return a VM by its name, or None."""
         return self._peers.get(name)
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -112,6 +112,7 @@
         them
     :param era: the store's era of the revisions, 0 if the sender's version does not report it
     :param version: version of the configuration in force, 0 if none is or it is not reported
+    :param cut_off: whether the VM reaches no target
     """
 
     sender: VMIdentity
@@ -128,6 +129,7 @@
     limits: tuple[TargetLimitReport, ...] | None = None
     era: int = 0
     version: int = 0
+    cut_off: bool = False
 
 
 @attrs.frozen
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -21,6 +21,8 @@
 from carawayquay_gateway.configuration_sync import ConfigurationSync
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.lookups import LookupApi
+from carawayquay_gateway.peer_calls import PeerCaller
+from carawayquay_gateway.peer_requests import PeerRequestApi
 from carawayquay_gateway.peers import PeerExchange
 from carawayquay_gateway.reach_prober import ReachProber
 from carawayquay_gateway.registrar import VMRegistrar
@@ -60,8 +62,13 @@
 #: Timeout for receiving a body; the caller's own deadline usually comes earlier.
 _BODY_SECONDS = 60.0
 
-#: Share of the process's file descriptors for callers' connections; the rest is for targets.
+#: Shares of the process's file descriptors for callers' connections, and for those of other VMs;
+#: the rest is for targets.
 _CALLERS_SHARE = 0.5
+_PEERS_SHARE = 0.1
+
+#: Maximum size of the header with another VM's decisions on a request, in bytes.
+_PEER_HEADER_BYTES = 16 * 1024
 
 #: Part of the grace period of a planned stop that is reserved for the last answers and the exit.
 _EXIT_MARGIN = timedelta(seconds=0.4)
@@ -111,7 +118,9 @@
         self._prober = ReachProber(self._state, generator)
         self._target_caller = TargetCaller(self._state, crashes, round_trips, self._prober)
         attempts = TargetAttempts(self._state, selection, self._target_caller, crashes, warm)
-        self._forwarder = Forwarder(self._state, attempts, crashes, generator)
+        peer_caller = PeerCaller(self._state, generator)
+        self._forwarder = Forwarder(self._state, attempts, peer_caller, crashes, generator)
+        self._peer_requests = PeerRequestApi(self._state, attempts, crashes)
         self._connections = int(settings.descriptors * _CALLERS_SHARE)
         limits = HttpLimits(connections=self._connections)
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_SHARE))
@@ -123,8 +132,16 @@
             self._forwarder.record_connection_end,
         )
         self._caller_listener = Listener(settings.callers, self._caller_server.serve)
+        self._peer_server = HttpServer(
+            self._peer_requests.handle,
+            self._peer_requests.reject,
+            _peer_limits(settings, HttpLimits()),
+            bodies,
+        )
+        self._peer_listener = Listener(settings.peer_requests, self._peer_server.serve)
         self._listeners = [
             self._caller_listener,
+            self._peer_listener,
             _listener(settings.ready, ReadinessApi(self._state).handle),
             _listener(settings.lookups, LookupApi(self._state).handle),
             _listener(settings.admin, AdminApi(self._state).handle),
@@ -179,7 +196,7 @@
             await self._state.ticker.next()
 
     def _set_limits(self, limits: TrafficLimits) -> None:
-        """Apply the limits of a configuration to the server of callers."""
+        """Apply the limits of a configuration to the servers of callers and of other VMs."""
         callers = HttpLimits(
             header_bytes=limits.header_bytes,
             body_bytes=limits.body_bytes,
@@ -189,6 +206,7 @@
             connections=self._connections,
         )
         self._caller_server.set_limits(callers)
+        self._peer_server.set_limits(_peer_limits(self._settings, callers))
 
     async def _flush_output(self) -> None:
         while True:
@@ -204,6 +222,7 @@
         _log.info(Event.STOPPING, vm=self._settings.name)
         self._state.stopping = True
         self._caller_server.announce_close()
+        self._peer_server.announce_close()
         self._peers.announce()
         now = self._state.clock.now()
         grace = self._settings.stop_grace - _EXIT_MARGIN
@@ -211,15 +230,34 @@
         async with curio.ignore_after(grace.total_seconds()):
             await curio.spawn(self._registrar.deregister, daemon=True)
             await curio.sleep(_LOOKUP_EXPIRY.total_seconds())
-            await self._caller_listener.close()
-            await self._caller_server.drain()
+            for listener in (self._caller_listener, self._peer_listener):
+                await listener.close()
+            for server in (self._caller_server, self._peer_server):
+                await server.drain()
             while self._busy:
                 await curio.sleep(_STOP_POLL_SECONDS)
 
     @property
     def _busy(self) -> bool:
-        """Whether callers still have connections or requests here."""
-        return self._caller_server.open_connections + self._forwarder.active > 0
+        """Whether callers or other VMs still have connections or requests here."""
+        connections = self._caller_server.open_connections + self._peer_server.open_connections
+        return connections + self._forwarder.active + self._peer_requests.active > 0
+
+
+def _peer_limits(settings: GatewaySettings, callers: HttpLimits) -> HttpLimits:
+    """Return the limits of the requests that other VMs send through this one.
+
+    Those have passed the limits of another VM, with a header less.
+
+    :param callers: the limits of callers' requests
+    """
+    return HttpLimits(
+        header_bytes=callers.header_bytes + _PEER_HEADER_BYTES,
+        headers=callers.headers + 1,
+        body_bytes=callers.body_bytes,
+        body_seconds=_BODY_SECONDS,
+        connections=int(settings.descriptors * _PEERS_SHARE),
+    )
 
 
 def _listener(address: Address, handle: object) -> Listener:
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -31,6 +31,7 @@
     from carawayquay.crash_counts import CrashCounts
     from carawayquay.forwarding import CallerRequest
     from carawayquay.routes import Route
+    from carawayquay_gateway.peer_calls import PeerCaller
     from carawayquay_gateway.state import GatewayState
     from carawayquay_gateway.target_attempts import TargetAttempts
     from carawayquay_wire.connection_ends import ConnectionEnd
@@ -55,6 +56,9 @@
 #: Assumed wait in seconds until a target has room, if no further retry is allowed.
 _RETRY_WAIT = 0.1
 
+#: Number of targets to which one request could not be sent, after which another VM is asked.
+_MAX_UNREACHABLE = 2
+
 _SERVER_ERROR = 500
 
 
@@ -65,11 +69,13 @@
         self,
         state: GatewayState,
         attempts: TargetAttempts,
+        peers: PeerCaller,
         crashes: CrashCounts,
         random: Random,
     ) -> None:
         self._state = state
         self._attempts = attempts
+        self._peers = peers
         self._crashes = crashes
         self._random = random
         self._answers = CallerAnswers(state)
@@ -159,7 +165,7 @@
             now = self._state.clock.now()
             if exchange.remaining(now) <= 0:
                 return self._deadline_error(exchange)
-            match await self._attempts.run(exchange):
+            match await self._attempt(exchange):
                 case NoCapacity() as refused:
                     exchange.limit_reached = refused.limit_reached
                     return self._final_error(exchange, refused.wait)
@@ -170,6 +176,15 @@
             if not self._take_retry(exchange):
                 return self._final_error(exchange, _RETRY_WAIT)
 
+    async def _attempt(self, exchange: Exchange) -> AttemptEnd | NoCapacity:
+        """Send a request to one target, through another VM if this one reaches no target."""
+        unreachable = len(exchange.unreachable_targets)
+        if self._state.reach.cut_off or unreachable >= _MAX_UNREACHABLE:
+            end = await self._peers.run(exchange)
+            if end is not None:
+                return end
+        return await self._attempts.run(exchange)
+
     def _handle_end(self, exchange: Exchange, end: AttemptEnd) -> HttpResponse | None:
         """Return the caller's answer after an attempt, or None to try another target."""
         exchange.limit_reached = end.limit_reached
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -231,4 +231,5 @@
             limits=state.target_limits.reports(now),
             era=state.replica_era,
             version=state.configuration_version,
+            cut_off=state.reach.cut_off,
         )
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -133,7 +133,12 @@
 
     @property
     def reports(self) -> Address:
-        """Address that receives load reports of other VMs."""
+        """Address that receives load reports of other VMs, over UDP."""
+        return Address(self.callers.host, self.ports[0])
+
+    @property
+    def peer_requests(self) -> Address:
+        """Address that takes requests which other VMs send through this one, over TCP."""
         return Address(self.callers.host, self.ports[0])
 
     @property
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -15,6 +15,7 @@
 from carawayquay.store_revision import StoreRevision
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_gateway.forwarder import Forwarder
+from carawayquay_gateway.peer_calls import PeerCaller
 from carawayquay_gateway.reach_prober import ReachProber
 from carawayquay_gateway.round_trips import RoundTrips
 from carawayquay_gateway.selection import Selection
@@ -162,7 +163,8 @@
     crashes = CrashCounts()
     caller = TargetCaller(state, crashes, round_trips, ReachProber(state, generator))
     attempts = TargetAttempts(state, selection, caller, crashes, WarmGossip())
-    return Forwarder(state, attempts, crashes, generator), state
+    peers = PeerCaller(state, generator)
+    return Forwarder(state, attempts, peers, crashes, generator), state
 
 
 def request(method="GET", path="/reports/7", body=b"", request_id="a1", left_ms=1000, **headers):
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -52,6 +52,8 @@
     LIMIT_NOT_UNDERSTOOD = "limit-not-understood"
     TARGETS_UNREACHABLE = "targets-unreachable"
     TARGETS_REACHED = "targets-reached"
+    PEER_REFUSED = "peer-refused"
+    PEER_SERVED = "peer-served"
     REQUEST_QUARANTINED = "request-quarantined"
     SHARD_TAKEN = "shard-taken"
     SHARD_SEALED = "shard-sealed"
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -67,6 +67,7 @@
         leaving=report.leaving,
         watching=report.watching,
         asking=report.asking,
+        cutOff=report.cut_off,
         **_common_fields(report),
     )
     return message.to_bytes_packed()
@@ -83,6 +84,7 @@
             leaving=reader.leaving,
             watching=reader.watching,
             asking=reader.asking,
+            cut_off=reader.cutOff,
             **_common_attributes(reader),
         )
     except (capnp.KjException, struct.error, ValueError) as error:
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -29,6 +29,7 @@
   limitsReported @12 :Bool;
   era @13 :UInt32;
   version @14 :UInt64;
+  cutOff @15 :Bool;
 }
 
 struct DomainSummary {
--- a/standins/tests/recorded_values.py
+++ b/standins/tests/recorded_values.py
@@ -302,15 +302,12 @@
     return (_FOLDER / name).read_text()
 
 
-def reports_before_limits() -> dict[str, Any]:
-    """Return the schemas of reports and summaries of the build before these carried limits."""
-    schema = capnp.load(str(_FOLDER / "reports_before_limits.capnp"))
-    return {"LoadReport": schema.LoadReport, "DomainSummary": schema.DomainSummary}
-
+def reports_schema(name: str) -> dict[str, Any]:
+    """Return the schemas of reports and summaries of an earlier build.
 
-def reports_before_eras() -> dict[str, Any]:
-    """Return the schemas of reports and summaries of the build before these carried eras."""
-    schema = capnp.load(str(_FOLDER / "reports_before_eras.capnp"))
+    :param name: the schema file's name without its suffix
+    """
+    schema = capnp.load(str(_FOLDER / f"{name}.capnp"))
     return {"LoadReport": schema.LoadReport, "DomainSummary": schema.DomainSummary}
 
 
--- a/standins/tests/test_recorded_data.py
+++ b/standins/tests/test_recorded_data.py
@@ -10,8 +10,7 @@
     filled,
     plain,
     recorded,
-    reports_before_eras,
-    reports_before_limits,
+    reports_schema,
 )
 
 from carawayquay.forwarding import LimitAbsent
@@ -19,9 +18,20 @@
 from carawayquay_wire import codec, reports
 
 MESSAGES = recorded("messages")["messages"]
-REPORTS_WITHOUT_LIMITS = recorded("reports")["reports"]
-REPORTS_WITHOUT_ERAS = recorded("reports_with_limits")["reports"]
-REPORTS = recorded("reports_with_eras")["reports"]
+REPORTS = recorded("reports_with_cut_off")["reports"]
+#: Earlier builds: their recorded reports, their schema, and what later builds added to a report.
+EARLIER_BUILDS = (
+    ("reports", "reports_before_limits", ("limits", "era", "version", "cut_off")),
+    ("reports_with_limits", "reports_before_eras", ("era", "version", "cut_off")),
+    ("reports_with_eras", "reports_before_cut_off", ("cut_off",)),
+)
+EARLIER_REPORTS = [
+    pytest.param(item, schema, added, id=f"{schema}-{item['struct']}-{item['true_flag']}")
+    for name, schema, added in EARLIER_BUILDS
+    for item in recorded(name)["reports"]
+]
+#: What a report of an earlier build has in the fields that later builds added.
+ABSENT = {"limits": None, "era": 0, "version": 0, "cut_off": False}
 REPORT_CODECS = {
     "LoadReport": (LoadReport, reports.encode_report, reports.decode_report),
     "DomainSummary": (DomainSummary, reports.encode_summary, reports.decode_summary),
@@ -62,37 +72,21 @@
     assert encode(value).hex() == item["bytes"]
 
 
-@pytest.mark.parametrize("item", REPORTS_WITHOUT_LIMITS, ids=_identify)
-def test_report_of_the_build_before_limits_is_decoded_to_the_recorded_fields(item):
-    kind, _, decode = REPORT_CODECS[item["struct"]]
-    report = decode(bytes.fromhex(item["bytes"]))
-    assert report == attrs.evolve(filled(kind, item["true_flag"]), limits=None, era=0, version=0)
-    assert plain(report) == [*item["fields"], None, 0, 0]
-
-
-@pytest.mark.parametrize("item", REPORTS_WITHOUT_LIMITS, ids=_identify)
-def test_build_before_limits_decodes_the_recorded_fields_of_a_report(item):
-    kind, encode, _ = REPORT_CODECS[item["struct"]]
-    written = encode(filled(kind, item["true_flag"]))
-    before = reports_before_limits()[item["struct"]]
-    read = before.from_bytes_packed(written)
-    expected = before.from_bytes_packed(bytes.fromhex(item["bytes"]))
-    assert read.to_dict() == expected.to_dict()
-
-
-@pytest.mark.parametrize("item", REPORTS_WITHOUT_ERAS, ids=_identify)
-def test_report_of_the_build_before_eras_is_decoded_to_the_recorded_fields(item):
+@pytest.mark.parametrize(("item", "_schema", "added"), EARLIER_REPORTS)
+def test_report_of_an_earlier_build_is_decoded_to_the_recorded_fields(item, _schema, added):
     kind, _, decode = REPORT_CODECS[item["struct"]]
     report = decode(bytes.fromhex(item["bytes"]))
-    assert report == attrs.evolve(filled(kind, item["true_flag"]), era=0, version=0)
-    assert plain(report) == [*item["fields"], 0, 0]
+    names = {field.name for field in attrs.fields(kind)}
+    absent = {name: ABSENT[name] for name in added if name in names}
+    assert report == attrs.evolve(filled(kind, item["true_flag"]), **absent)
+    assert plain(report) == [*item["fields"], *absent.values()]
 
 
-@pytest.mark.parametrize("item", REPORTS_WITHOUT_ERAS, ids=_identify)
-def test_build_before_eras_decodes_the_recorded_fields_of_a_report(item):
+@pytest.mark.parametrize(("item", "schema", "_added"), EARLIER_REPORTS)
+def test_earlier_build_decodes_the_recorded_fields_of_a_report(item, schema, _added):
     kind, encode, _ = REPORT_CODECS[item["struct"]]
     written = encode(filled(kind, item["true_flag"]))
-    before = reports_before_eras()[item["struct"]]
+    before = reports_schema(schema)[item["struct"]]
     read = before.from_bytes_packed(written)
     expected = before.from_bytes_packed(bytes.fromhex(item["bytes"]))
     assert read.to_dict() == expected.to_dict()
