Bound the memory and connections of requests that go through other VMs

Both kinds of answers share one budget, the connections are closed when targets are reached again, and calls are given up as soon as the silence lasts. A request that comes with no time left is refused, and a limit's waiting time travels with the refusal. The tests of cut-off VMs take a free port.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -18,6 +18,7 @@
 from carawayquay.planned_stop import PlannedStop
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_gateway.admin import AdminApi, ReadinessApi, reject
+from carawayquay_gateway.answer_memory import new_answer_memory
 from carawayquay_gateway.configuration_sync import ConfigurationSync
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.lookups import LookupApi
@@ -116,10 +117,11 @@
         round_trips = RoundTrips(settings.domain, settings.regions)
         selection = Selection(self._state, round_trips, generator)
         self._prober = ReachProber(self._state, generator)
-        self._target_caller = TargetCaller(self._state, crashes, round_trips, self._prober)
+        memory = new_answer_memory(settings)
+        self._target_caller = TargetCaller(self._state, crashes, round_trips, self._prober, memory)
         attempts = TargetAttempts(self._state, selection, self._target_caller, crashes, warm)
-        peer_caller = PeerCaller(self._state, generator)
-        self._forwarder = Forwarder(self._state, attempts, peer_caller, crashes, generator)
+        self._peer_caller = PeerCaller(self._state, memory, generator)
+        self._forwarder = Forwarder(self._state, attempts, self._peer_caller, crashes, generator)
         self._peer_requests = PeerRequestApi(self._state, attempts, crashes)
         self._connections = int(settings.descriptors * _CALLERS_SHARE)
         limits = HttpLimits(connections=self._connections)
@@ -172,7 +174,9 @@
             await group.spawn(ConfigurationSync(self._state).run)
             await group.spawn(self._registrar.run)
             await group.spawn(self._update_state)
-            await group.spawn(self._prober.run, self._target_caller.abandon_calls)
+            await group.spawn(
+                self._prober.run, self._target_caller.abandon_calls, self._peer_caller.close
+            )
             await group.spawn(self._flush_output)
             await group.spawn(SettingsReloader(self._state, self._path).run, ReloadSignal())
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
--- a/packages/gateway/src/carawayquay_gateway/peer_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_calls.py
@@ -19,7 +19,6 @@
     decode_answer,
     encode_request,
 )
-from carawayquay_wire.body_budget import BodyBudget
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http_client import HttpClient, HttpError
 
@@ -27,6 +26,7 @@
     from random import Random
 
     from carawayquay.load_reports import VMIdentity
+    from carawayquay_gateway.answer_memory import AnswerMemory
     from carawayquay_gateway.exchanges import Exchange
     from carawayquay_gateway.peer_messages import PeerAnswer
     from carawayquay_gateway.state import GatewayState
@@ -44,24 +44,18 @@
 #: Idle time after which a connection to another VM is not reused; shorter than its idle timeout.
 _MAX_IDLE = timedelta(seconds=5)
 
-#: Shares of the process's memory for all answers while they are received, and for a single one.
-_ALL_ANSWERS_SHARE = 0.2
-_ONE_ANSWER_SHARE = 0.15
-_BYTES_IN_MB = 1_000_000
-
 
 class PeerCaller:
     """Sends requests to other VMs, each of which sends it to one target or refuses it."""
 
-    def __init__(self, state: GatewayState, random: Random) -> None:
+    def __init__(self, state: GatewayState, memory: AnswerMemory, random: Random) -> None:
         self._state = state
         self._peers = ForwardingPeers(state.identity, random)
-        memory = state.settings.memory_mb * _BYTES_IN_MB
         self._http = HttpClient(
-            int(memory * _ONE_ANSWER_SHARE),
+            memory.max_answer_bytes,
             state.clock,
             dial_seconds=_CONNECT_SECONDS,
-            body_budget=BodyBudget(int(memory * _ALL_ANSWERS_SHARE)),
+            body_budget=memory.budget,
         )
         state.metrics.gauge("requests_at_peers", lambda: float(self._peers.in_flight))
 
@@ -84,6 +78,10 @@
                     return end
         return None
 
+    async def close(self) -> None:
+        """Close the idle connections to other VMs, which are needed only while cut off."""
+        await self._http.close()
+
     async def _call(self, vm: VMIdentity, exchange: Exchange) -> AttemptEnd | RefusedForPeer:
         """Send a request to one VM."""
         started = self._state.clock.now()
--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -89,7 +89,7 @@
         for _ in range(_MAX_UNREACHABLE):
             end = await self._attempts.run(prepared)
             if isinstance(end, NoCapacity):
-                return RefusedForPeer(RefusalReason.NO_CAPACITY, end.wait)
+                return RefusedForPeer(RefusalReason.NO_CAPACITY, _wait(end))
             answer = _answer_for_peer(end)
             if answer is not None:
                 return answer
@@ -109,6 +109,8 @@
         if request.service not in {weighted.service for weighted in route.services}:
             return RefusalReason.NO_ROUTE
         deadline = now + min(request.remaining, route.timeout) - _ANSWER_MARGIN
+        if deadline <= now:
+            return RefusalReason.NO_CAPACITY
         if state.planned_stop is not None and not state.planned_stop.admits(deadline, now):
             return RefusalReason.STOPPING
         fingerprint = request_fingerprint(request.call)
@@ -148,6 +150,13 @@
         )
 
 
+def _wait(refused: NoCapacity) -> float | None:
+    """Return the seconds until a target has room or its limit admits a request."""
+    if refused.wait is None and refused.limit_reached is not None:
+        return refused.limit_reached.wait
+    return refused.wait
+
+
 def _answer_for_peer(end: AttemptEnd) -> PeerAnswer | None:
     """Return the answer to another VM after an attempt, or None if no target received it."""
     attempt = end.attempt
--- a/packages/gateway/src/carawayquay_gateway/reach_prober.py
+++ b/packages/gateway/src/carawayquay_gateway/reach_prober.py
@@ -47,21 +47,31 @@
         self._dial = dialer
         self._probing = curio.Lock()
 
-    async def run(self, abandon_calls: Callable[[], Awaitable[None]]) -> None:
+    async def run(
+        self,
+        abandon_calls: Callable[[], Awaitable[None]],
+        leave_peers: Callable[[], Awaitable[None]],
+    ) -> None:
         """Probe whenever it is due, until cancelled.
 
         :param abandon_calls: called when targets don't answer on open connections either
+        :param leave_peers: called when targets are reached again
         """
         reach = self._state.reach
-        was_cut_off = False
+        abandoned = was_cut_off = False
         while True:
             now = self._state.clock.now()
             reach.note_waiting(len(self._state.own_in_flight()), now)
             cause = reach.probe_due(now)
             if cause is not None:
                 await self._probe(cause)
-            if reach.cut_off and not was_cut_off and not reach.answering(self._state.clock.now()):
+            answering = reach.answering(self._state.clock.now())
+            if reach.cut_off and not answering and not abandoned:
                 await abandon_calls()
+                abandoned = True
+            if was_cut_off and not reach.cut_off:
+                await leave_peers()
+                abandoned = False
             was_cut_off = reach.cut_off
             await self._state.ticker.next()
 
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -10,7 +10,6 @@
 
 from carawayquay_gateway.exchanges import Answered, Unanswered
 from carawayquay_platform import headers
-from carawayquay_wire.body_budget import BodyBudget
 from carawayquay_wire.dialing import dial
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http_client import HttpClient, HttpError
@@ -20,6 +19,7 @@
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.forwarding import TargetAnswer
     from carawayquay.membership import Address
+    from carawayquay_gateway.answer_memory import AnswerMemory
     from carawayquay_gateway.reach_prober import ReachProber
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.state import GatewayState
@@ -45,11 +45,6 @@
 #: Connect timeout, several round trips between regions, after which another target is tried.
 _CONNECT_SECONDS = 0.3
 
-#: Shares of the process's memory for all answers while they are received, and for a single one.
-_ALL_ANSWERS_SHARE = 0.2
-_ONE_ANSWER_SHARE = 0.15
-_BYTES_IN_MB = 1_000_000
-
 
 class TargetCaller:
     """Calls targets over pooled keep-alive connections."""
@@ -60,6 +55,7 @@
         crashes: CrashCounts,
         round_trips: RoundTrips,
         prober: ReachProber,
+        memory: AnswerMemory,
         dialer: Dialer = dial,
     ) -> None:
         self._state = state
@@ -68,17 +64,15 @@
         self._crashes = crashes
         self._round_trips = round_trips
         self._domains: dict[Address, str] = {}
-        memory = state.settings.memory_mb * _BYTES_IN_MB
-        self._answer_budget = BodyBudget(int(memory * _ALL_ANSWERS_SHARE))
         self._http = HttpClient(
-            int(memory * _ONE_ANSWER_SHARE),
+            memory.max_answer_bytes,
             state.clock,
             self._record_connect,
             _CONNECT_SECONDS,
-            self._answer_budget,
+            memory.budget,
             dialer,
         )
-        state.metrics.gauge("answer_bytes", lambda: float(self._answer_budget.used))
+        state.metrics.gauge("answer_bytes", lambda: float(memory.budget.used))
 
     async def abandon_calls(self) -> None:
         """End the calls that may be repeated, and close idle connections, to all targets."""
--- a/packages/gateway/tests/cut_off_fleet.py
+++ b/packages/gateway/tests/cut_off_fleet.py
@@ -20,6 +20,7 @@
 from carawayquay.crash_counts import CrashCounts
 from carawayquay.load_reports import LoadReport
 from carawayquay.warm_gossip import WarmGossip
+from carawayquay_gateway.answer_memory import new_answer_memory
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.peer_calls import PeerCaller
 from carawayquay_gateway.peer_requests import PeerRequestApi
@@ -124,12 +125,13 @@
         selection = Selection(self.state, round_trips, generator)
         self.crashes = CrashCounts()
         self._prober = ReachProber(self.state, generator, self.network.dial)
+        memory = new_answer_memory(self.state.settings)
         self._caller = TargetCaller(
-            self.state, self.crashes, round_trips, self._prober, self.network.dial
+            self.state, self.crashes, round_trips, self._prober, memory, self.network.dial
         )
         attempts = TargetAttempts(self.state, selection, self._caller, self.crashes, WarmGossip())
-        peers = PeerCaller(self.state, generator)
-        self.forwarder = Forwarder(self.state, attempts, peers, self.crashes, generator)
+        self._peers = PeerCaller(self.state, memory, generator)
+        self.forwarder = Forwarder(self.state, attempts, self._peers, self.crashes, generator)
         self.peer_requests = PeerRequestApi(self.state, attempts, self.crashes)
         self.peer_server = HttpServer(self.peer_requests.handle, self.peer_requests.reject)
         self._sequence = 0
@@ -141,7 +143,9 @@
         address = self.state.settings.peer_requests
         sock = tcp_server_socket(address.host, address.port)
         self._serving = await curio.spawn(run_server, sock, self._serve, daemon=True)
-        await curio.spawn(self._prober.run, self._caller.abandon_calls, daemon=True)
+        await curio.spawn(
+            self._prober.run, self._caller.abandon_calls, self._peers.close, daemon=True
+        )
 
     async def stop(self):
         """Stop serving other VMs, as a killed VM does."""
--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -14,6 +14,7 @@
 from carawayquay.membership import Address
 from carawayquay.store_revision import StoreRevision
 from carawayquay.warm_gossip import WarmGossip
+from carawayquay_gateway.answer_memory import new_answer_memory
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.peer_calls import PeerCaller
 from carawayquay_gateway.reach_prober import ReachProber
@@ -161,9 +162,10 @@
     generator = random.Random(1)
     selection = Selection(state, round_trips, generator)
     crashes = CrashCounts()
-    caller = TargetCaller(state, crashes, round_trips, ReachProber(state, generator))
+    memory = new_answer_memory(state.settings)
+    caller = TargetCaller(state, crashes, round_trips, ReachProber(state, generator), memory)
     attempts = TargetAttempts(state, selection, caller, crashes, WarmGossip())
-    peers = PeerCaller(state, generator)
+    peers = PeerCaller(state, memory, generator)
     return Forwarder(state, attempts, peers, crashes, generator), state
 
 
--- a/packages/gateway/tests/test_cut_off_vms.py
+++ b/packages/gateway/tests/test_cut_off_vms.py
@@ -6,6 +6,7 @@
 import pytest
 from cut_off_fleet import MODES, CutOffFleet
 from gateway_builders import configuration, request, route
+from gateway_site import free_ports
 
 #: Time by which a VM that has requests in flight must have found out about a cut.
 _NOTICE_SECONDS = 3.0
@@ -15,7 +16,7 @@
     """Run a check on a fleet of VMs in some domains, with a timeout."""
 
     async def go():
-        fleet = CutOffFleet(domains, port=7200, **options)
+        fleet = CutOffFleet(domains, port=free_ports("127.9.6.1", 1)[0], **options)
         async with curio.timeout_after(20.0):
             await fleet.start()
             await check(fleet)
