--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -7,14 +7,21 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
-import attrs
 import curio
 import h11
 
-from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget, unknown_length_reservation
+from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget
 from carawayquay_wire.connection_ends import ConnectionEnd
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse
+from carawayquay_wire.request_reading import (
+    RejectedError,
+    check_head,
+    content_length,
+    next_event,
+    read_body,
+)
+from carawayquay_wire.response_encoding import encode_head, encode_response
 from carawayquay_wire.socket_readiness import is_readable
 
 if TYPE_CHECKING:
@@ -43,16 +50,6 @@
 #: Body budget of a server that was created without one.
 _DEFAULT_BODY_BUDGET_BYTES = 64 * 1024 * 1024
 
-_BODILESS_STATUSES = frozenset({204, 304})
-
-
-@attrs.frozen
-class _RejectedError(Exception):
-    """A request that violates the protocol or a limit, with the status to respond with."""
-
-    status: int
-    reason: str
-
 
 class HttpServer:
     """Serves HTTP/1.1 connections with one handler.
@@ -174,7 +171,7 @@
         with suppress(OSError):
             async with curio.ignore_after(_REFUSE_SECONDS):
                 await sock.sendall(
-                    self._encode(_new_connection(self._limits), response, "GET", True)
+                    encode_response(_new_connection(self._limits), response, "GET", True)
                 )
                 await _lingering_close(sock)
 
@@ -191,7 +188,7 @@
     ) -> bool:
         try:
             request = await self._read_request(sock, connection, peer, reservation)
-        except _RejectedError as rejection:
+        except RejectedError as rejection:
             await self._write_rejection(sock, connection, rejection)
             return False
         if request is None:
@@ -222,10 +219,12 @@
             head = await self._read_head(sock, connection)
             if head is None:
                 return None
-            _check_head(head, self._limits)
-            body = await self._read_body(sock, connection, _content_length(head), reservation)
+            check_head(head, self._limits)
+            body = await read_body(
+                sock, connection, self._limits, content_length(head), reservation
+            )
         except h11.RemoteProtocolError as error:
-            raise _RejectedError(error.error_status_hint, str(error)) from error
+            raise RejectedError(error.error_status_hint, str(error)) from error
         return HttpRequest(
             method=head.method.decode("ascii"),
             target=head.target.decode("latin-1"),
@@ -237,7 +236,7 @@
     async def _read_head(self, sock: Any, connection: h11.Connection) -> h11.Request | None:
         """Read the head of a request and return it, None if the connection ends before it.
 
-        :raises _RejectedError: if the head does not arrive within the timeout
+        :raises RejectedError: if the head does not arrive within the timeout
         """
         event = connection.next_event()
         if event is h11.NEED_DATA:
@@ -245,7 +244,7 @@
                 sock, connection
             ):
                 return None
-            event = await self._next_event(
+            event = await next_event(
                 sock, connection, self._limits.header_seconds, "headers did not arrive in time"
             )
         if isinstance(event, h11.Request):
@@ -269,58 +268,6 @@
         connection.receive_data(data)
         return True
 
-    async def _next_event(
-        self, sock: Any, connection: h11.Connection, seconds: float, reason: str
-    ) -> Any:
-        event = connection.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        try:
-            async with curio.timeout_after(seconds):
-                while event is h11.NEED_DATA:
-                    connection.receive_data(await sock.recv(_READ_BYTES))
-                    event = connection.next_event()
-        except curio.TaskTimeout:
-            raise _RejectedError(408, reason) from None
-        return event
-
-    async def _read_body(
-        self, sock: Any, connection: h11.Connection, length: int, reservation: Reservation
-    ) -> bytes | bytearray:
-        """Read the body of a request.
-
-        :param length: the value of content-length, 0 if there is none
-        """
-        event = connection.next_event()
-        if isinstance(event, h11.EndOfMessage):
-            return b""
-        if connection.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            await self._send(sock, connection.send(continue_response))
-        body = bytearray()
-        try:
-            async with curio.timeout_after(self._limits.body_seconds):
-                await reservation.grow_to(length)
-                while not isinstance(event, h11.EndOfMessage):
-                    if event is h11.NEED_DATA:
-                        connection.receive_data(await sock.recv(_READ_BYTES))
-                    elif isinstance(event, h11.Data):
-                        size = len(body) + len(event.data)
-                        if size > self._limits.body_bytes:
-                            limit = self._limits.body_bytes
-                            raise _RejectedError(413, f"body exceeds {limit} bytes")
-                        if size > length:
-                            await reservation.grow_to(
-                                unknown_length_reservation(size, self._limits.body_bytes)
-                            )
-                        body += event.data
-                    else:
-                        raise _RejectedError(400, "body is incomplete")
-                    event = connection.next_event()
-        except curio.TaskTimeout:
-            raise _RejectedError(408, "body did not arrive in time") from None
-        return bytes(body) if len(body) <= SMALL_BODY_BYTES else body
-
     async def _await_unless_closed(
         self, sock: Any, connection: h11.Connection, work: Any
     ) -> HttpResponse | None:
@@ -340,7 +287,7 @@
             return False
         if len(response.body) <= SMALL_BODY_BYTES or method == "HEAD":
             return await self._send(
-                sock, self._encode(connection, response, method, self._close_after_response)
+                sock, encode_response(connection, response, method, self._close_after_response)
             )
         return await self._write_large(sock, connection, response)
 
@@ -348,7 +295,7 @@
         self, sock: Any, connection: h11.Connection, response: HttpResponse
     ) -> bool:
         """Send a response without copying its body, and return whether that succeeded in time."""
-        head = self._encode_head(connection, response, "", self._close_after_response)
+        head = encode_head(connection, response, "", self._close_after_response)
         if not await self._send(sock, head):
             return False
         connection.send_with_data_passthrough(h11.Data(data=response.body))
@@ -358,12 +305,12 @@
         return True
 
     async def _write_rejection(
-        self, sock: Any, connection: h11.Connection, rejection: _RejectedError
+        self, sock: Any, connection: h11.Connection, rejection: RejectedError
     ) -> None:
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         response = self._reject(rejection.status, rejection.reason)
-        data = self._encode(connection, response, "", close=True)
+        data = encode_response(connection, response, "", close=True)
         if await self._send(sock, data):
             await _lingering_close(sock)
 
@@ -378,26 +325,6 @@
             self._deadlines.pop(sock, None)
         return True
 
-    def _encode(
-        self, connection: h11.Connection, response: HttpResponse, method: str, close: bool
-    ) -> bytes:
-        """Encode a response to a request with the given method."""
-        data = self._encode_head(connection, response, method, close)
-        if response.body and method != "HEAD" and response.status not in _BODILESS_STATUSES:
-            data += connection.send(h11.Data(data=response.body))
-        return data + connection.send(h11.EndOfMessage())
-
-    def _encode_head(
-        self, connection: h11.Connection, response: HttpResponse, method: str, close: bool
-    ) -> bytes:
-        headers = list(response.headers)
-        has_content_length = method == "HEAD" and response.header(b"content-length") is not None
-        if response.status not in _BODILESS_STATUSES and not has_content_length:
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        if close:
-            headers.append((b"connection", b"close"))
-        return connection.send(h11.Response(status_code=response.status, headers=headers))
-
 
 def _new_connection(limits: HttpLimits) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
@@ -433,30 +360,3 @@
 async def _shut_down(sock: Any) -> None:
     with suppress(OSError):
         await sock.shutdown(2)
-
-
-def _content_length(head: h11.Request) -> int:
-    """Return the value of content-length, 0 if there is none."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-    return 0
-
-
-def _check_head(head: h11.Request, limits: HttpLimits) -> None:
-    """Reject a head that exceeds a limit, or that allows request smuggling.
-
-    :raises _RejectedError: if it exceeds a limit, or has both content-length and transfer-encoding
-    """
-    if len(head.headers) > limits.headers:
-        raise _RejectedError(431, f"more than {limits.headers} headers")
-    size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
-    if size > limits.header_bytes:
-        raise _RejectedError(431, f"headers exceed {limits.header_bytes} bytes")
-    length = _content_length(head)
-    if not length:
-        return
-    if any(name == b"transfer-encoding" for name, _ in head.headers):
-        raise _RejectedError(400, "both content-length and transfer-encoding")
-    if length > limits.body_bytes:
-        raise _RejectedError(413, f"body exceeds {limits.body_bytes} bytes")
--- /dev/null
+++ b/packages/wire/src/carawayquay_wire/request_reading.py
@@ -0,0 +1,117 @@
+"""Reads requests from callers' connections, and checks them against the limits of a server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import curio
+import h11
+
+from carawayquay_wire.body_budget import SMALL_BODY_BYTES, unknown_length_reservation
+
+if TYPE_CHECKING:
+    from carawayquay_wire.body_budget import Reservation
+    from carawayquay_wire.http import HttpLimits
+
+__all__ = ["RejectedError", "check_head", "content_length", "next_event", "read_body"]
+
+_READ_BYTES = 65536
+
+
+@attrs.frozen
+class RejectedError(Exception):
+    """A request that violates the protocol or a limit, with the status to respond with."""
+
+    status: int
+    reason: str
+
+
+async def next_event(sock: Any, connection: h11.Connection, seconds: float, reason: str) -> Any:
+    """Return the next event of a connection, reading until there is one.
+
+    :param seconds: timeout for receiving it
+    :param reason: why the request is rejected if it does not arrive in time
+    :raises RejectedError: if it does not arrive in time
+    """
+    event = connection.next_event()
+    if event is not h11.NEED_DATA:
+        return event
+    try:
+        async with curio.timeout_after(seconds):
+            while event is h11.NEED_DATA:
+                connection.receive_data(await sock.recv(_READ_BYTES))
+                event = connection.next_event()
+    except curio.TaskTimeout:
+        raise RejectedError(408, reason) from None
+    return event
+
+
+async def read_body(
+    sock: Any,
+    connection: h11.Connection,
+    limits: HttpLimits,
+    length: int,
+    reservation: Reservation,
+) -> bytes | bytearray:
+    """Read the body of a request.
+
+    :param length: the value of content-length, 0 if there is none
+    :raises RejectedError: if it does not arrive in time, exceeds a limit or is incomplete
+    """
+    event = connection.next_event()
+    if isinstance(event, h11.EndOfMessage):
+        return b""
+    if connection.they_are_waiting_for_100_continue:
+        continue_response = h11.InformationalResponse(status_code=100, headers=[])
+        await sock.sendall(connection.send(continue_response))
+    body = bytearray()
+    try:
+        async with curio.timeout_after(limits.body_seconds):
+            await reservation.grow_to(length)
+            while not isinstance(event, h11.EndOfMessage):
+                if event is h11.NEED_DATA:
+                    connection.receive_data(await sock.recv(_READ_BYTES))
+                elif isinstance(event, h11.Data):
+                    size = len(body) + len(event.data)
+                    if size > limits.body_bytes:
+                        limit = limits.body_bytes
+                        raise RejectedError(413, f"body exceeds {limit} bytes")
+                    if size > length:
+                        await reservation.grow_to(
+                            unknown_length_reservation(size, limits.body_bytes)
+                        )
+                    body += event.data
+                else:
+                    raise RejectedError(400, "body is incomplete")
+                event = connection.next_event()
+    except curio.TaskTimeout:
+        raise RejectedError(408, "body did not arrive in time") from None
+    return bytes(body) if len(body) <= SMALL_BODY_BYTES else body
+
+
+def content_length(head: h11.Request) -> int:
+    """Return the value of content-length, 0 if there is none."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+    return 0
+
+
+def check_head(head: h11.Request, limits: HttpLimits) -> None:
+    """Reject a head that exceeds a limit, or that allows request smuggling.
+
+    :raises RejectedError: if it exceeds a limit, or has both content-length and transfer-encoding
+    """
+    if len(head.headers) > limits.headers:
+        raise RejectedError(431, f"more than {limits.headers} headers")
+    size = len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
+    if size > limits.header_bytes:
+        raise RejectedError(431, f"headers exceed {limits.header_bytes} bytes")
+    length = content_length(head)
+    if not length:
+        return
+    if any(name == b"transfer-encoding" for name, _ in head.headers):
+        raise RejectedError(400, "both content-length and transfer-encoding")
+    if length > limits.body_bytes:
+        raise RejectedError(413, f"body exceeds {limits.body_bytes} bytes")
