--- a/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
 from carawayquay.configuration_drafts import build_configuration
 from carawayquay.discovery import RegisteredTarget, TargetRegistry, TargetState
 from carawayquay.entry_peers import EntryPeers
+from carawayquay.forwarding_peers import ForwardingPeers, sample_by_distance
 from carawayquay.load_reports import LoadReport, TargetCount, VMIdentity, WarmObject
 from carawayquay.membership import Address
 from carawayquay.placement import Candidate, WorkTimes, choose_cheapest
@@ -60,9 +62,24 @@
     ]
 
 
+def forwarding_slopes() -> list[Slope]:
+    """Measure the cost of choosing a VM through which to send, by the number of other VMs."""
+    return [
+        cpu_slope(
+            "a sample and 100 choices of a VM to send through, by VMs", _VMS, _forwarding_work
+        )
+    ]
+
+
 def main() -> None:
     """Print every slope."""
-    for slope in (*configuration_slopes(), *report_slopes(), *placement_slopes()):
+    slopes = (
+        *configuration_slopes(),
+        *report_slopes(),
+        *placement_slopes(),
+        *forwarding_slopes(),
+    )
+    for slope in slopes:
         print(slope)
 
 
@@ -130,6 +147,20 @@
     return peers
 
 
+def _forwarding_work(vms: int) -> Callable[[], Any]:
+    peers = _peers(vms)
+    forwarding = ForwardingPeers(_OWN_VM, random.Random(1))
+
+    generator = random.Random(1)
+
+    def choose() -> None:
+        sample = sample_by_distance(_OWN_VM, peers.forwarding_vms(_NOW), generator)
+        for _ in range(_REPEATS):
+            forwarding.choose(sample, (), (), _NOW)
+
+    return choose
+
+
 def _registered(targets: int) -> list[RegisteredTarget]:
     registry = TargetRegistry()
     for index in range(targets):
--- a/packages/core/src/carawayquay/forwarding_peers.py
+++ b/packages/core/src/carawayquay/forwarding_peers.py
@@ -7,18 +7,19 @@
 
 import attrs
 
+from carawayquay.report_timing import Distance, distance
+
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
     from random import Random
 
     from carawayquay.load_reports import VMIdentity
 
-__all__ = ["ForwardingPeers"]
+__all__ = ["ForwardingPeers", "sample_by_distance"]
 
-#: Distance of a VM outside the own domain, or outside the own region, as a number of requests in
-#: flight: a nearer VM is used until it has so many requests more.
-_OTHER_DOMAIN_DISTANCE = 4
-_OTHER_REGION_DISTANCE = 16
+#: Distances of VMs as a number of requests in flight: a nearer VM is used until it has so many
+#: requests more.
+_DISTANCES = {Distance.DOMAIN: 0, Distance.REGION: 4, Distance.FAR: 16}
 
 #: Distance added for each VM of the same domain that was tried for the request: a cut often hits
 #: a whole domain.
@@ -33,6 +34,26 @@
 #: Remembered VMs that could not help, which bounds the memory in a large fleet.
 _MAX_UNUSABLE = 1024
 
+#: VMs at one distance among which a choice is made, which bounds its cost in a large fleet.
+_MAX_AT_DISTANCE = 16
+
+
+def sample_by_distance(
+    own: VMIdentity, vms: Iterable[VMIdentity], random: Random
+) -> list[VMIdentity]:
+    """Return some of the VMs of the own domain, of the rest of the own region, and of others.
+
+    :param own: this VM
+    """
+    groups: dict[Distance, list[VMIdentity]] = {}
+    for vm in vms:
+        groups.setdefault(distance(own, vm), []).append(vm)
+    return [
+        vm
+        for group in groups.values()
+        for vm in random.sample(group, min(len(group), _MAX_AT_DISTANCE))
+    ]
+
 
 @attrs.define
 class _Unusable:
@@ -113,8 +134,4 @@
     def _cost(self, vm: VMIdentity, tried: Collection[VMIdentity]) -> int:
         tried_there = sum(other.domain == vm.domain for other in tried)
         cost = self._in_flight.get(vm.name, 0) + tried_there * _TRIED_DISTANCE
-        if vm.domain == self._own.domain:
-            return cost
-        if vm.region == self._own.region:
-            return cost + _OTHER_DOMAIN_DISTANCE
-        return cost + _OTHER_REGION_DISTANCE
+        return cost + _DISTANCES[distance(self._own, vm)]
--- a/packages/core/tests/test_forwarding_peers.py
+++ b/packages/core/tests/test_forwarding_peers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from carawayquay.forwarding_peers import ForwardingPeers
+from carawayquay.forwarding_peers import ForwardingPeers, sample_by_distance
 from carawayquay.load_reports import VMIdentity
 
 NOW = timedelta(seconds=50)
@@ -81,3 +81,10 @@
     for number in range(5000):
         peers.failed(_vm(f"v{number}"), NOW + timedelta(seconds=number))
     assert len(peers._unusable) <= 1024
+
+
+def test_sample_holds_some_vms_of_each_distance():
+    many = [_vm(f"n{number}") for number in range(100)]
+    sample = sample_by_distance(OWN, many + BESIDE + FAR, random.Random(1))
+    assert len(sample) == 16 + len(BESIDE) + len(FAR)
+    assert len(set(sample)) == len(sample)
--- a/packages/gateway/src/carawayquay_gateway/peer_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_calls.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from carawayquay.errors import FrameError
-from carawayquay.forwarding_peers import ForwardingPeers
+from carawayquay.forwarding_peers import ForwardingPeers, sample_by_distance
 from carawayquay.membership import Address
 from carawayquay.placement import NoCapacity
 from carawayquay_gateway.exchanges import Answered, Attempt, AttemptEnd, Unanswered
@@ -38,6 +38,9 @@
 #: Number of VMs that are asked for one request, each of which may refuse it at once.
 _MAX_PEERS = 6
 
+#: Time for which a sample of the live VMs is used.
+_SAMPLE_LIFETIME = timedelta(milliseconds=200)
+
 #: Connect timeout, several round trips between regions.
 _CONNECT_SECONDS = 0.15
 
@@ -50,7 +53,10 @@
 
     def __init__(self, state: GatewayState, memory: AnswerMemory, random: Random) -> None:
         self._state = state
+        self._random = random
         self._peers = ForwardingPeers(state.identity, random)
+        self._sample: list[VMIdentity] = []
+        self._sampled_at = state.clock.now() - _SAMPLE_LIFETIME
         self._http = HttpClient(
             memory.max_answer_bytes,
             state.clock,
@@ -64,8 +70,7 @@
         asked: set[VMIdentity] = set()
         for _ in range(_MAX_PEERS):
             now = self._state.clock.now()
-            live = self._state.peers.forwarding_vms(now)
-            vm = self._peers.choose(live, exchange.route.allowed_regions, asked, now)
+            vm = self._choose(exchange, asked, now)
             if vm is None or exchange.remaining(now) <= 0:
                 return None
             asked.add(vm)
@@ -78,6 +83,20 @@
                     return end
         return None
 
+    def _choose(
+        self, exchange: Exchange, asked: set[VMIdentity], now: timedelta
+    ) -> VMIdentity | None:
+        """Return the VM to ask next, from a sample unless none of it may be asked."""
+        if now - self._sampled_at >= _SAMPLE_LIFETIME:
+            self._sampled_at = now
+            live = self._state.peers.forwarding_vms(now)
+            self._sample = sample_by_distance(self._state.identity, live, self._random)
+        regions = exchange.route.allowed_regions
+        chosen = self._peers.choose(self._sample, regions, asked, now)
+        if chosen is not None:
+            return chosen
+        return self._peers.choose(self._state.peers.forwarding_vms(now), regions, asked, now)
+
     async def close(self) -> None:
         """Close the idle connections to other VMs, which are needed only while cut off."""
         await self._http.close()
