Keep a process that starts alive over a reload signal

Cause: until the reload signal had a handler, which was set as the last step of the start, after the listeners had been spawned, its default action ended the process.

The time in which the interpreter itself starts remains: no program can act then.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -158,9 +158,10 @@
         gauge("store_era", lambda: float(self._state.store_era))
         gauge("stopping", lambda: float(self._state.stopping))
 
-    async def run(self) -> None:
+    async def run(self, reload_signal: ReloadSignal) -> None:
         """Serve until a stop signal arrives, then drain.
 
+        :param reload_signal: noted from before the settings were read
         :raises Exception: the error of a task that failed
         """
         async with curio.TaskGroup(wait=any) as group:
@@ -178,7 +179,7 @@
                 self._prober.run, self._target_caller.abandon_calls, self._peer_caller.close
             )
             await group.spawn(self._flush_output)
-            await group.spawn(SettingsReloader(self._state, self._path).run, ReloadSignal())
+            await group.spawn(SettingsReloader(self._state, self._path).run, reload_signal)
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
         if group.completed.exception is not None:
             _log.error(Event.FAILED, task=group.completed.name, reason=group.completed.exception)
@@ -275,8 +276,9 @@
     :param settings: path of the INI file
     """
     path = Path(settings)
+    reload_signal = ReloadSignal()
     loaded = load_gateway_settings(path)
     output = LogWriter(sys.stdout.fileno())
     set_up_bounded_logging(loaded.log_level, output)
     log_problems(loaded, path)
-    curio.run(Gateway(loaded, path, output).run)
+    curio.run(Gateway(loaded, path, output).run, reload_signal)
