Refuse a settings file that is not text, instead of ending the process

Callers saw: all kept connections of a VM end at once, with the requests on them, when its settings file was read while it was not UTF-8 text, as one that is half written may be.

Cause: the reader of the file turned its operating system errors into a refusal of the settings, but not the error of its decoder; that one ended the task that reloads, and with it the process. Class: an error of input that is not one of the expected types ends a background task.

Change: the file is read as UTF-8 whatever the locale, and one that is not is refused like any other invalid file.

--- a/packages/core/src/carawayquay/settings.py
+++ b/packages/core/src/carawayquay/settings.py
@@ -176,12 +176,14 @@
 def read_settings(path: Path) -> str:
     """Return the text of a settings file.
 
-    :raises SettingsError: if the file is unreadable
+    :raises SettingsError: if the file is unreadable or not UTF-8 text
     """
     try:
-        return path.read_text()
+        return path.read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsError((f"settings file {path}: {error.strerror}",)) from error
+    except UnicodeDecodeError as error:
+        raise SettingsError((f"settings file {path} is not UTF-8 text: {error.reason}",)) from error
 
 
 def parse_settings(text: str) -> Settings:
--- a/packages/gateway/tests/test_reload.py
+++ b/packages/gateway/tests/test_reload.py
@@ -47,6 +47,27 @@
     assert _reload(tmp_path, MOVED, True).callers == Address("127.0.0.1", 7001)
 
 
+@pytest.mark.parametrize("signalled", [True, False])
+def test_settings_that_are_not_text_leave_the_reloader_running(tmp_path, signalled):
+    path = tmp_path / "settings.ini"
+    path.write_text(SETTINGS_TEXT)
+    state = new_state()
+
+    async def check():
+        await curio.spawn(SettingsReloader(state, path).run, ReloadSignal(), daemon=True)
+        for data in (SETTINGS_TEXT.encode()[:-20] + b"\xc3", CHANGED.encode()):
+            await curio.sleep(0.05)
+            path.write_bytes(data)
+            if signalled:
+                os.kill(os.getpid(), signal.SIGHUP)
+                await curio.sleep(0.3)
+            else:
+                await curio.sleep(2.3)
+        assert state.settings.seeds == (Address("127.0.0.9", 7004),)
+
+    run(check)
+
+
 def test_invalid_settings_leave_the_current_ones_in_force(tmp_path):
     settings = _reload(tmp_path, "[vm]\nname = x\n", True)
     assert settings.seeds[0] == Address("127.0.0.1", 7004)
