Read a page of the store past an odd entry

What callers would see: one entry of another writer that json cannot decode (nested 100,000 deep, an integer of 5,000 digits, bytes that are no UTF-8, a control character) made every VM's listing and watch of that kind fail again and again. VMs that ran stopped following the list, VMs that started never got ready.

Cause: the whole response was decoded at once, so that a failure of one entry counted as a failure of the store (StoreError: "the store's response is not JSON").

Change: read_json decodes as before.

--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from carawayquay_wire.json_reader import read_json
+
 __all__ = ["HttpLimits", "HttpRequest", "HttpResponse", "json_response"]
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -83,11 +85,11 @@
         return [value.decode("latin-1") for key, value in self.headers if key.lower() == name]
 
     def json(self) -> Any:
-        """Parse the body as JSON.
+        """Parse the body as JSON, with null for odd values; see :func:`read_json`.
 
-        :raises ValueError: if the body is not JSON
+        :raises ValueError: if the body as a whole is not JSON
         """
-        return json.loads(self.body)
+        return read_json(self.body)
 
 
 def json_response(status: int, value: Any, headers: Headers = ()) -> HttpResponse:
