Reset connections whose request was given up, so that a cut doesn't delay it

Callers saw: a booking that was told 504 at 8.659 s reached its target, and began to run, at 13.595 s, 3.1 s after the cut in between had healed and 2,749 ms after the target's leaving was acknowledged (DRAIN, 2,500 allowed).

Cause: after a time-out the client closed the connection in order. The kernel keeps unacknowledged bytes of a closed connection and sends them again, with gaps that double, until they arrive.

Evidence: test_abandoned_requests.py failed before, for a time-out and for a cancelled exchange: a server that read nothing until the request had been given up then read all 60,079 bytes and an orderly close. Now it reads the 4,096 bytes that had arrived, and a reset. Answered connections are closed in order as before (tested; passes before and after).

Change: HttpConnection.close sets SO_LINGER to zero while a request is unanswered.

--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import time
 from contextlib import suppress
 from datetime import timedelta
@@ -44,6 +45,9 @@
 _KEEPALIVE_PROBES = 2
 _TCP_USER_TIMEOUT_MILLISECONDS = 2000
 
+#: Value of ``SO_LINGER`` with which a close resets the connection and drops its unsent bytes.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 #: Interim (1xx) responses that one exchange skips; a faulty server may send them without end.
 _MAX_INTERIM_RESPONSES = 8
 
@@ -96,6 +100,7 @@
         self._exchange_count = 0
         self._head_request = False
         self._reusable = True
+        self._awaiting_response = False
         #: Reading of the pool's clock when the connection last became idle.
         self.idle_since = timedelta()
 
@@ -127,6 +132,7 @@
         self._head_request = request.method == "HEAD"
         self._exchange_count += 1
         self._reusable = False
+        self._awaiting_response = True
         try:
             await self._send(request)
             response = await self._receive()
@@ -141,6 +147,7 @@
                 response = await self._receive()
         except (OSError, h11.ProtocolError) as error:
             raise HttpError(f"{self._address}: {error}", sent=True, fresh=fresh) from error
+        self._awaiting_response = False
         complete = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if complete and not self._h11.trailing_data[0]:
             self._h11.start_next_cycle()
@@ -148,8 +155,15 @@
         return response
 
     async def close(self) -> None:
-        """Close the connection; the server may then cancel the request that it is handling."""
+        """Close the connection; the server may then cancel the request that it is handling.
+
+        A connection with an unanswered request is reset, so that the kernel does not deliver the
+        request later, for example once a cut link has healed.
+        """
         self._reusable = False
+        with suppress(OSError):
+            if self._awaiting_response:
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         with suppress(OSError):
             await self._sock.close()
 
