Let a daemon that starts join by a peer that has the objects in force

Two daemons that were restarted while the restored store lacked a document took the store's older copy within 14 ms of their start, and kept it until the document was written again, while the others had the later one in force.

Cause: a daemon that starts asks its peers before it reads documents, and took any reply for having asked. The two seeds were the two that started: each got the other's reply, which knew nothing, and went to the store. A pull that failed counted as well.

Joining, in the core, counts only peers whose own objects were once confirmed, and only when their objects were taken; without any, the store is read after three rounds with listed members, as before.

--- a/packages/daemon/src/carawayquayd/heartbeats.py
+++ b/packages/daemon/src/carawayquayd/heartbeats.py
@@ -9,6 +9,7 @@
 
 from carawayquay.errors import LinkError, RequestError
 from carawayquay.heartbeats import HEARTBEAT_INTERVAL, Heartbeat, Load
+from carawayquay.joining import Joining
 from carawayquay.membership import VMState
 from carawayquay.neighbours import neighbours
 from carawayquay.watchers import ranked_watchers
@@ -37,9 +38,6 @@
 #: Number of seeds, and of listed members, that an isolated VM contacts per round.
 _CONTACTS_PER_ROUND = 3
 
-#: Rounds in which a starting VM contacts listed members before it trusts the store alone.
-_MAX_JOIN_ROUNDS = 3
-
 #: Time for which a watcher of another domain that did not reply is replaced by the next in rank.
 _FAILED_PEER_BACKOFF = timedelta(seconds=5)
 
@@ -50,8 +48,8 @@
 class HeartbeatExchange:
     """The heartbeats of one daemon.
 
-    ``seeds_contacted`` is set after the first round of contacts, ``joined`` once a peer replied or
-    enough rounds with listed members had no reply.
+    ``seeds_contacted`` is set after the first round of contacts, ``joined`` once this VM has the
+    objects of a peer or enough rounds with listed members found none that has any.
 
     :param loads: returns the loads of the services that this VM has slots for
     """
@@ -75,6 +73,7 @@
         self._last_round_at = state.clock.now()
         self._last_reply_at: timedelta | None = None
         self._misdirected = 0
+        self._joining = Joining()
         self.seeds_contacted = curio.Event()
         self.joined = curio.Event()
 
@@ -173,18 +172,14 @@
         return self._state.directory.domain(self._state.settings.domain).version == 0
 
     async def _join(self) -> None:
-        """Pull objects from contacts until one replies or all rounds with listed members failed.
-
-        The store's documents are read only after that, so that a store with an older copy cannot
-        replace newer documents that peers have in force.
-        """
-        rounds = 0
-        while rounds < _MAX_JOIN_ROUNDS and self._last_reply_at is None:
-            rounds += self._state.directory.domains != ()
+        """Pull objects from contacts until this VM has those in force; see ``Joining``."""
+        while not self._joining.done:
+            listed = self._state.directory.domains != ()
             self._replicator.changed.clear()
             await self._pull_from_contacts()
             await self.seeds_contacted.set()
-            if self._last_reply_at is None and rounds < _MAX_JOIN_ROUNDS:
+            self._joining.end_round(listed=listed)
+            if not self._joining.done:
                 await self._wait_for_change()
         await self.joined.set()
 
@@ -221,8 +216,10 @@
 
     async def _pull_from_contact(self, address: Address) -> None:
         reply = await self._exchange(address, None)
-        if reply is not None and not self._replicator.in_sync(reply):
-            await self._replicator.pull_all(address)
+        if reply is None:
+            return
+        has_objects = self._replicator.in_sync(reply) or await self._replicator.pull_all(address)
+        self._joining.record(reply, has_objects=has_objects)
 
     async def _start_exchange(self, address: Address, vm: EntryVM) -> None:
         if address not in self._in_flight:
--- a/packages/daemon/src/carawayquayd/object_replicator.py
+++ b/packages/daemon/src/carawayquayd/object_replicator.py
@@ -98,20 +98,22 @@
         if pull is not None:
             await curio.spawn(self.pull, address, pull, daemon=True)
 
-    async def pull_all(self, address: Address) -> None:
-        """Pull every object that a peer holds and this VM lacks."""
-        await self.pull(address, Pull(self._state.objects.digests(), complete=True))
+    async def pull_all(self, address: Address) -> bool:
+        """Pull every object that a peer holds and this VM lacks; return whether no call failed."""
+        return await self.pull(address, Pull(self._state.objects.digests(), complete=True))
 
-    async def pull(self, address: Address, pull: Pull) -> None:
-        """Pull from a peer until it has no more new objects or a call fails."""
+    async def pull(self, address: Address, pull: Pull) -> bool:
+        """Pull from a peer until it has no more new objects; return whether no call failed."""
         self._pulling = True
         try:
             while await self._pull_once(address, pull):
                 pull = Pull(self._state.objects.digests(), complete=True)
         except (LinkError, RequestError) as error:
             _log.debug(Event.PULL_FAILED, address=address, reason=error)
+            return False
         finally:
             self._pulling = False
+        return True
 
     async def _pull_once(self, address: Address, pull: Pull) -> bool:
         """Pull once; return whether the peer has more and this answer changed the objects held."""
