Wait at a start for settings that are being replaced

Callers saw: a VM that was started beside a change of its settings did not come up; its process ended with its settings' problems.

Cause: a start read the file once and took a missing or incomplete one as final, while a reload leaves the settings in force. Besides, the version of the file was noted after it had been read, so that a change during the start was missed until the next one.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -30,7 +30,7 @@
 from carawayquay_gateway.reload import SettingsReloader, log_problems
 from carawayquay_gateway.round_trips import RoundTrips
 from carawayquay_gateway.selection import Selection
-from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
+from carawayquay_gateway.settings_file import SettingsFile
 from carawayquay_gateway.state import GatewayState
 from carawayquay_gateway.summaries import SummaryExchange
 from carawayquay_gateway.target_attempts import TargetAttempts
@@ -49,6 +49,7 @@
 if TYPE_CHECKING:
     from carawayquay.membership import Address
     from carawayquay.routes import TrafficLimits
+    from carawayquay_gateway.settings import GatewaySettings
 
 __all__ = ["Gateway", "run"]
 
@@ -84,12 +85,12 @@
     def __init__(
         self,
         settings: GatewaySettings,
-        path: Path,
+        file: SettingsFile,
         output: LogWriter,
         clock: Clock | None = None,
     ) -> None:
         self._settings = settings
-        self._path = path
+        self._file = file
         self._output = output
         seed = secrets.randbits(63)
         identity = VMIdentity(
@@ -179,7 +180,7 @@
                 self._prober.run, self._target_caller.abandon_calls, self._peer_caller.close
             )
             await group.spawn(self._flush_output)
-            await group.spawn(SettingsReloader(self._state, self._path).run, reload_signal)
+            await group.spawn(SettingsReloader(self._state, self._file).run, reload_signal)
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
         if group.completed.exception is not None:
             _log.error(Event.FAILED, task=group.completed.name, reason=group.completed.exception)
@@ -275,10 +276,10 @@
 
     :param settings: path of the INI file
     """
-    path = Path(settings)
+    file = SettingsFile(Path(settings))
     reload_signal = ReloadSignal()
-    loaded = load_gateway_settings(path)
+    loaded = file.wait_and_read()
     output = LogWriter(sys.stdout.fileno())
     set_up_bounded_logging(loaded.log_level, output)
-    log_problems(loaded, path)
-    curio.run(Gateway(loaded, path, output).run, reload_signal)
+    log_problems(loaded, file.path)
+    curio.run(Gateway(loaded, file, output).run, reload_signal)
--- a/packages/gateway/src/carawayquay_gateway/reload.py
+++ b/packages/gateway/src/carawayquay_gateway/reload.py
@@ -8,12 +8,13 @@
 import curio
 
 from carawayquay.errors import SettingsError
-from carawayquay_gateway.settings import GatewaySettings, load_gateway_settings
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from carawayquay_gateway.settings import GatewaySettings
+    from carawayquay_gateway.settings_file import SettingsFile
     from carawayquay_gateway.state import GatewayState
     from carawayquay_wire.signals import ReloadSignal
 
@@ -42,36 +43,28 @@
 class SettingsReloader:
     """Applies changed settings; an invalid file leaves the current settings in force."""
 
-    def __init__(self, state: GatewayState, path: Path) -> None:
+    def __init__(self, state: GatewayState, file: SettingsFile) -> None:
         self._state = state
-        self._path = path
-        self._loaded_version = self._file_version()
+        self._file = file
 
     async def run(self, signal: ReloadSignal) -> None:
         """Reload the file whenever it changes or a signal arrives, until cancelled."""
         while True:
+            signalled = False
             async with curio.ignore_after(_POLL_SECONDS):
                 await signal.wait()
-                self._loaded_version = None
-            file_version = self._file_version()
-            if file_version != self._loaded_version:
-                self._loaded_version = file_version
+                signalled = True
+            if signalled or self._file.changed():
                 self.reload()
 
     def reload(self) -> None:
         """Read the file and apply its settings."""
+        path = self._file.path
         try:
-            loaded = load_gateway_settings(self._path, self._state.settings)
+            loaded = self._file.read(self._state.settings)
         except SettingsError as error:
-            _log.warning(Event.SETTINGS_REFUSED, path=self._path, reason=error)
+            _log.warning(Event.SETTINGS_REFUSED, path=path, reason=error)
             return
         self._state.settings = keep_fixed_settings(self._state.settings, loaded)
-        _log.info(Event.SETTINGS_RELOADED, path=self._path)
-        log_problems(loaded, self._path)
-
-    def _file_version(self) -> tuple[int, int] | None:
-        try:
-            status = self._path.stat()
-        except OSError:
-            return None
-        return status.st_mtime_ns, status.st_size
+        _log.info(Event.SETTINGS_RELOADED, path=path)
+        log_problems(loaded, path)
--- a/packages/gateway/tests/test_reload.py
+++ b/packages/gateway/tests/test_reload.py
@@ -11,19 +11,27 @@
 
 from carawayquay.membership import Address
 from carawayquay_gateway.reload import SettingsReloader
+from carawayquay_gateway.settings_file import SettingsFile
 from carawayquay_wire.signals import ReloadSignal
 
 CHANGED = SETTINGS_TEXT.replace("seeds = 127.0.0.1:7004,127.0.0.2:7004", "seeds = 127.0.0.9:7004")
 MOVED = CHANGED.replace("callers = 127.0.0.1:7001", "callers = 127.0.0.1:9999")
 
 
+def read_file(path):
+    """Return a settings file that was read."""
+    file = SettingsFile(path)
+    file.read()
+    return file
+
+
 def _reload(tmp_path, text, signalled):
     path = tmp_path / "settings.ini"
     path.write_text(SETTINGS_TEXT)
     state = new_state()
 
     async def check():
-        reloader = SettingsReloader(state, path)
+        reloader = SettingsReloader(state, read_file(path))
         await curio.spawn(reloader.run, ReloadSignal(), daemon=True)
         await curio.sleep(0.05)
         path.write_text(text)
@@ -54,7 +62,7 @@
     state = new_state()
 
     async def check():
-        await curio.spawn(SettingsReloader(state, path).run, ReloadSignal(), daemon=True)
+        await curio.spawn(SettingsReloader(state, read_file(path)).run, ReloadSignal(), daemon=True)
         for data in (SETTINGS_TEXT.encode()[:-20] + b"\xc3", CHANGED.encode()):
             await curio.sleep(0.05)
             path.write_bytes(data)
--- a/packages/gateway/tests/test_reload_in_a_start.py
+++ b/packages/gateway/tests/test_reload_in_a_start.py
@@ -21,6 +21,9 @@
 _HOST = "127.9.29.1"
 _START_SECONDS = 20.0
 
+#: Time for which the settings are missing or incomplete, most of it after the first read.
+_INCOMPLETE_SECONDS = 1.5
+
 #: Stands in for a library; signals its process and then hands over to the library.
 _SIGNALLING_MODULE = """
 import os, signal, sys
@@ -100,3 +103,43 @@
         await start.until_logged("event=settings-reloaded")
 
     _watch(start, process, check)
+
+
+@pytest.mark.parametrize("incomplete", [None, "", "[vm]\nname = x\n"])
+def test_settings_that_become_whole_during_a_start_do_not_end_the_process(tmp_path, incomplete):
+    start = _Start(tmp_path)
+    if incomplete is not None:
+        start.path.write_text(incomplete)
+    process = start.launch()
+
+    async def check():
+        await curio.sleep(_INCOMPLETE_SECONDS)
+        start.path.write_text(start.text)
+        await start.until_listening(process)
+
+    _watch(start, process, check)
+
+
+def test_settings_that_change_while_they_are_read_are_read_again_without_a_signal(tmp_path):
+    start = _Start(tmp_path)
+    os.mkfifo(start.path)
+    process = start.launch()
+
+    async def check():
+        with start.path.open("w") as settings:
+            changed = start.path.with_suffix(".new")
+            changed.write_text(start.text)
+            changed.replace(start.path)
+            settings.write(start.text)
+        await start.until_listening(process)
+        await start.until_logged("event=settings-reloaded")
+
+    _watch(start, process, check)
+
+
+def test_settings_that_stay_incomplete_end_a_start_with_their_problems(tmp_path):
+    start = _Start(tmp_path)
+    start.path.write_text("[vm]\nname = x\n")
+    process = start.launch()
+    assert process.wait(_START_SECONDS) == 1
+    assert "[bounds] stop is missing" in start.log.read_text()
