--- a/packages/gateway/tests/test_one_odd_entry.py
+++ b/packages/gateway/tests/test_one_odd_entry.py
@@ -13,6 +13,7 @@
 from raw_store import RawStore, raw_entry
 
 from carawayquay.clock import MonotonicClock
+from carawayquay.errors import StoreError
 from carawayquay.membership import Address
 from carawayquay_gateway.admin import AdminApi, reject
 from carawayquay_gateway.state import GatewayState
@@ -157,3 +158,36 @@
         await peer.close()
 
     run(check)
+
+
+def test_page_without_a_readable_object_does_not_end_the_listing():
+    async def check():
+        store = RawStore()
+        nameless = b'{"metadata":{"name":"%s","revision":"x"},"spec":{}}'
+        store.pages["servers"] = [
+            [raw_entry("a", 1, _target(81)), nameless % b"b"],
+            [nameless % b"c", nameless % b"d"],
+            [b"7", nameless % b"e/f\xc3\xa9?&", b"null"],
+            [raw_entry("g", 5, _target(85))],
+        ]
+        state, _ = await _follow(store, ObjectKind.TARGETS)
+        await _until(lambda: state.targets.get("a") and state.targets.get("g"))
+        assert store.after == ["b", "d", "e/f\xe9?&"]
+
+    run(check)
+
+
+def test_listing_that_cannot_go_on_fails_and_deletes_nothing():
+    async def check():
+        store = RawStore()
+        store.pages["servers"] = [
+            [raw_entry("a", 1, _target(81))],
+            [b'{"metadata":{"name":7}}', b"[]"],
+            [raw_entry("c", 3, _target(83))],
+        ]
+        client = PlatformStoreClient(await store.listen(_HOST), timedelta(seconds=2))
+        with pytest.raises(StoreError, match="names no object"):
+            await client.list(ObjectKind.TARGETS)
+        await client.close()
+
+    run(check)
