--- a/packages/gateway/tests/test_one_odd_entry.py
+++ b/packages/gateway/tests/test_one_odd_entry.py
@@ -4,24 +4,29 @@
 
 import json
 import random
+from contextlib import suppress
 from datetime import timedelta
+from functools import partial
 
 import curio
 import pytest
 from curio.network import run_server, tcp_server_socket
-from gateway_builders import at, configuration, identity, run, settings, target
+from gateway_builders import at, configuration, identity, new_state, run, settings, target
 from raw_store import RawStore, raw_entry
 
 from carawayquay.clock import MonotonicClock
 from carawayquay.errors import StoreError
+from carawayquay.load_reports import LoadReport
 from carawayquay.membership import Address
 from carawayquay_gateway.admin import AdminApi, reject
 from carawayquay_gateway.state import GatewayState
 from carawayquay_gateway.watcher import Watcher
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_platform.store import PlatformStoreClient
+from carawayquay_wire.http import HttpResponse
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.metrics import Metrics
+from carawayquay_wire.reports import decode_report, encode_report
 
 _HOST = "127.9.30.1"
 _SETTLE_SECONDS = 0.5
@@ -191,3 +196,49 @@
         await client.close()
 
     run(check)
+
+
+@pytest.mark.parametrize("revision", [b"1" + b"0" * 30, b"-1", b"true", b"1.5", b"9" * 5_000])
+def test_revision_out_of_range_fails_the_call_only(revision):
+    async def check():
+        sock = tcp_server_socket(_HOST, 0)
+        body = b'{"items":[],"events":[],"current_rev":%s}' % revision
+        server = HttpServer(lambda _: HttpResponse(200, (), body), reject)
+        await curio.spawn(run_server, sock, server.serve, daemon=True)
+        client = PlatformStoreClient(Address(_HOST, sock.getsockname()[1]), timedelta(seconds=2))
+        for call in (client.list, partial(client.pull, after=at(3))):
+            with pytest.raises(StoreError):
+                await call(ObjectKind.TARGETS)
+        await client.close()
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    "addition",
+    [
+        b'"names":[["b"],{},7,"a"]',
+        b'"names":{"a":1}',
+        b'"events":[{"object":{"metadata":{"name":"b","revision":11}},"era":1%s}]' % (b"0" * 30),
+        b'"events":[{"object":{"metadata":{"name":"b","revision":11}},"era":-1}]',
+        b'"events":[{"object":{"metadata":{"name":"b","revision":11}},"era":true}]',
+        b'"events":[7,null,[],{"object":[]},{"object":{"metadata":[]}},{"deleted":true}]',
+        b'"events":{"a":1}',
+    ],
+)
+def test_odd_additions_of_another_vm_end_no_watcher(addition):
+    async def check():
+        sock = tcp_server_socket(_HOST, 0)
+        body = b'{"current_rev":12,%s}' % addition
+        server = HttpServer(lambda _: HttpResponse(200, (), body), reject)
+        await curio.spawn(run_server, sock, server.serve, daemon=True)
+        client = PlatformStoreClient(Address(_HOST, sock.getsockname()[1]), timedelta(seconds=2))
+        state = new_state(targets=[("a", target("127.0.0.1:81"))])
+        with suppress(StoreError):
+            changes = await client.pull(ObjectKind.TARGETS, at(10))
+            state.replicas[ObjectKind.TARGETS].apply_changes(changes)
+        report = LoadReport(identity(), 1, False, state.reported_revisions(), era=state.replica_era)
+        assert decode_report(encode_report(report)).era == state.replica_era
+        await client.close()
+
+    run(check)
