--- a/packages/core/src/carawayquay/membership.py
+++ b/packages/core/src/carawayquay/membership.py
@@ -3,10 +3,29 @@
 from __future__ import annotations
 
 import enum
+import re
+from functools import lru_cache
+from ipaddress import IPv4Address
 
 import attrs
 
-__all__ = ["Address", "DomainList", "EntryVM", "VMState", "parse_domain_list"]
+__all__ = ["Address", "DomainList", "EntryVM", "VMState", "is_ip_address", "parse_domain_list"]
+
+_PORT = re.compile("[0-9]{1,9}")
+
+
+@lru_cache(maxsize=8192)
+def is_ip_address(host: str) -> bool:
+    """Return whether a host is an IPv4 address, so that connecting to it looks up no name.
+
+    >>> is_ip_address("10.0.0.1"), is_ip_address("10.0.0.300"), is_ip_address("localhost")
+    (True, False, False)
+    """
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return True
 
 
 @attrs.frozen(order=True)
@@ -29,7 +48,7 @@
         :raises ValueError: if *text* is not ``host:port``
         """
         host, separator, port = text.rpartition(":")
-        if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        if not separator or not host or not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
             raise ValueError(f'address "{text}" is not host:port')
         return cls(host, int(port))
 
