--- a/models/src/carawayquay_models/__main__.py
+++ b/models/src/carawayquay_models/__main__.py
@@ -8,6 +8,7 @@
     conditional_writes,
     document_replication,
     key_claims,
+    peer_forwarding,
     slot_lists,
     slot_loans,
     store_restores,
@@ -28,6 +29,7 @@
     conditional_writes.main()
     document_replication.main()
     store_restores.main()
+    peer_forwarding.main()
 
 
 if __name__ == "__main__":
