Find a VM that reaches targets where nine of ten are cut off

Callers of cut-off VMs were refused although VMs reached targets: a VM that had said that it is cut off was asked again every two seconds before those known to help, which had requests in flight.

A VM that was cut off comes after others for ten seconds more, or until it helps; after three refusals, one that lately got a target's answer comes first.

--- a/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
+++ b/benchmarks/src/carawayquay_benchmarks/gateway_slopes.py
@@ -9,7 +9,7 @@
 from carawayquay.configuration_drafts import build_configuration
 from carawayquay.discovery import RegisteredTarget, TargetRegistry, TargetState
 from carawayquay.entry_peers import EntryPeers
-from carawayquay.forwarding_peers import ForwardingPeers, sample_by_distance
+from carawayquay.forwarding_peers import ForwardingPeers
 from carawayquay.load_reports import LoadReport, TargetCount, VMIdentity, WarmObject
 from carawayquay.membership import Address
 from carawayquay.placement import Candidate, WorkTimes, choose_cheapest
@@ -151,10 +151,8 @@
     peers = _peers(vms)
     forwarding = ForwardingPeers(_OWN_VM, random.Random(1))
 
-    generator = random.Random(1)
-
     def choose() -> None:
-        sample = sample_by_distance(_OWN_VM, peers.forwarding_vms(_NOW), generator)
+        sample = forwarding.sample(peers.forwarding_vms(_NOW), _NOW)
         for _ in range(_REPEATS):
             forwarding.choose(sample, (), (), _NOW)
 
--- a/packages/core/tests/test_forwarding_peers.py
+++ b/packages/core/tests/test_forwarding_peers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from carawayquay.forwarding_peers import ForwardingPeers, sample_by_distance
+from carawayquay.forwarding_peers import ForwardingPeers
 from carawayquay.load_reports import VMIdentity
 
 NOW = timedelta(seconds=50)
@@ -79,12 +79,32 @@
 def test_memory_of_vms_that_could_not_help_is_bounded():
     peers = _peers()
     for number in range(5000):
-        peers.failed(_vm(f"v{number}"), NOW + timedelta(seconds=number))
-    assert len(peers._unusable) <= 1024
+        peers.failed(_vm(f"v{number}"), NOW + timedelta(milliseconds=number), cut_off=True)
+    assert len(peers._experiences) <= 1024
 
 
-def test_sample_holds_some_vms_of_each_distance():
+def test_vm_that_was_cut_off_is_used_after_others_until_it_helps_again():
+    peers = _peers()
+    peers.failed(NEAR[0], NOW, cut_off=True)
+    later = NOW + timedelta(seconds=3)
+    assert {peers.choose(NEAR, (), (), later) for _ in range(20)} == {NEAR[1]}
+    peers.helped(NEAR[0], later)
+    assert {peers.choose(NEAR, (), (), later) for _ in range(50)} == set(NEAR)
+
+
+def test_vm_known_to_reach_targets_comes_first_after_three_refusals():
+    peers = _peers()
+    peers.helped(FAR[0], NOW)
+    unknown = [_vm(f"u{number}", f"d{number}") for number in range(5)]
+    assert peers.choose(unknown + FAR, (), unknown[:2], NOW) in unknown[2:]
+    assert peers.choose(unknown + FAR, (), unknown[:3], NOW) == FAR[0]
+
+
+def test_sample_holds_some_vms_of_each_distance_and_those_known_to_reach_targets():
     many = [_vm(f"n{number}") for number in range(100)]
-    sample = sample_by_distance(OWN, many + BESIDE + FAR, random.Random(1))
+    peers = _peers()
+    peers.helped(many[70], NOW)
+    sample = peers.sample(many + BESIDE + FAR, NOW)
     assert len(sample) == 16 + len(BESIDE) + len(FAR)
     assert len(set(sample)) == len(sample)
+    assert many[70] in sample
--- a/packages/gateway/src/carawayquay_gateway/peer_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_calls.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from carawayquay.errors import FrameError
-from carawayquay.forwarding_peers import ForwardingPeers, sample_by_distance
+from carawayquay.forwarding_peers import ForwardingPeers
 from carawayquay.membership import Address
 from carawayquay.placement import NoCapacity
 from carawayquay_gateway.exchanges import Answered, Attempt, AttemptEnd, Unanswered
@@ -53,7 +53,6 @@
 
     def __init__(self, state: GatewayState, memory: AnswerMemory, random: Random) -> None:
         self._state = state
-        self._random = random
         self._peers = ForwardingPeers(state.identity, random)
         self._sample: list[VMIdentity] = []
         self._sampled_at = state.clock.now() - _SAMPLE_LIFETIME
@@ -90,7 +89,7 @@
         if now - self._sampled_at >= _SAMPLE_LIFETIME:
             self._sampled_at = now
             live = self._state.peers.forwarding_vms(now)
-            self._sample = sample_by_distance(self._state.identity, live, self._random)
+            self._sample = self._peers.sample(live, now)
         regions = exchange.route.allowed_regions
         chosen = self._peers.choose(self._sample, regions, asked, now)
         if chosen is not None:
@@ -151,6 +150,7 @@
         """Return the result of a call from another VM's answer."""
         match answer:
             case AnsweredForPeer():
+                self._peers.helped(vm, self._state.clock.now())
                 exchange.tried_targets.add(answer.target)
                 attempt = Attempt(
                     answer.target, answer.domain, answer.wait, answer.work, answer.warm, vm.name
