Leave out VMs without an IP address from datagrams

What would be seen: a report or summary with a member or sender whose host is no IP address was taken over, and datagrams were sent there: sendto looks the name up, which blocks the only thread, and raises ValueError or UnicodeError, which are no OSError, for a NUL or a label of more than 63 characters. That ends the task that sends, and with it the process. Members are passed on, so that one odd host would reach all VMs.

Cause: the fields of a datagram were taken as they came.

Evidence: before the change, all seven cases of test_sender_with_an_odd_host_is_refused_and_an_odd_member_left_out failed (no error), and test_messages_with_odd_fields_end_no_task found the host "" among those that datagrams were to be sent to.

--- a/packages/gateway/tests/test_odd_datagrams.py
+++ b/packages/gateway/tests/test_odd_datagrams.py
@@ -152,6 +152,28 @@
     gateway.run_a_while()
 
 
+@given(st.lists(_REPORTS, max_size=4), st.lists(_SUMMARIES, max_size=4))
+def test_messages_with_odd_fields_end_no_task(reports, summaries):
+    gateway = _Gateway()
+    for message in (*map(encode_report, reports), *map(encode_summary, summaries)):
+        gateway.take(message)
+        gateway.run_a_while()
+    assert gateway.sock.hosts <= {"127.0.0.1", "127.0.0.2", "127.9.30.2", "127.9.30.3"}
+
+
+@pytest.mark.parametrize("host", _ODD_HOSTS)
+def test_sender_with_an_odd_host_is_refused_and_an_odd_member_left_out(host):
+    odd, sound = identity(host=host), identity("puget-a-2", "127.9.30.2")
+    for encode, decode, message in (
+        (encode_report, decode_report, lambda **of: LoadReport(**of, leaving=False)),
+        (encode_summary, decode_summary, lambda **of: DomainSummary(**of, vms=1)),
+    ):
+        with pytest.raises(FrameError):
+            decode(encode(message(sender=odd, sequence=1, revisions=())))
+        whole = message(sender=sound, sequence=1, revisions=(), members=(odd, sound))
+        assert decode(encode(whole)).members == (sound,)
+
+
 @pytest.mark.parametrize("cut", [1, 2, 100, 9_000, 30_000, 60_000])
 def test_datagram_of_several_segments_that_is_cut_off_is_refused(cut):
     vms = tuple(identity(f"vm-{index}", incarnation=index) for index in range(600))
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -26,6 +26,7 @@
     VMIdentity,
     WarmObject,
 )
+from carawayquay.membership import is_ip_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -215,7 +216,9 @@
         "targets": _unpack(_TARGET_COUNT, TargetCount, reader.targets),
         "rates": _unpack(_SERVICE_RATE, ServiceRate, reader.rates),
         "crashes": tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
-        "members": tuple(_read_identity(item) for item in reader.members),
+        "members": tuple(
+            _read_identity(item) for item in reader.members if is_ip_address(item.host)
+        ),
         "warmed": _unpack(_WARM_OBJECT, WarmObject, reader.warmed),
         "limits": (
             _unpack(_TARGET_LIMIT, _read_limit, reader.limits) if reader.limitsReported else None
@@ -265,4 +268,10 @@
 
 
 def _read_identity(reader: Any) -> VMIdentity:
+    """Return the identity of a VM.
+
+    :raises ValueError: if its host is no IP address
+    """
+    if not is_ip_address(reader.host):
+        raise ValueError(f"host {reader.host!r} is not an IP address")
     return VMIdentity(reader.name, reader.host, reader.domain, reader.region, reader.incarnation)
