Leave out rates out of range from datagrams

What would be seen: two VMs of a domain that report a rate of 3e38 requests/s for the same service ended each relay of the domain: the sum does not fit the 32-bit float of the summary. A negative or NaN rate spoiled the sums.

Cause: rates were taken as they came; limits are checked.

Evidence: before the change, test_rate_out_of_range_is_left_out failed for 3e38 and -3e38 with OverflowError in encode_summary, called by SummaryExchange, and for the other rates since they were in the sums.

Change: a rate that is not from 0 to 1e9 requests/s is left out.

--- a/packages/gateway/tests/test_odd_datagrams.py
+++ b/packages/gateway/tests/test_odd_datagrams.py
@@ -191,3 +191,17 @@
     for decode in (decode_report, decode_summary):
         with suppress(FrameError):
             decode(data)
+
+
+@pytest.mark.parametrize("rate", [3e38, float("inf"), float("nan"), -3e38, -1.0])
+def test_rate_out_of_range_is_left_out(rate):
+    gateway = _Gateway()
+    code = short_hash("granite")
+    for index in (2, 3):
+        sender = identity(f"puget-a-{index}", f"127.9.30.{index}")
+        rates = (ServiceRate(code, rate), ServiceRate(7, 2.0))
+        gateway.take(encode_report(LoadReport(sender, 1, False, (1, 2, 3), rates=rates)))
+    far = identity("inland-a-1", "127.9.30.9", "inland-a", "inland")
+    gateway.take(encode_summary(DomainSummary(far, 1, (1, 2, 3), 1)))
+    assert gateway.state.peers.domain_rates(gateway.state.clock.now()) == {7: 4.0}
+    gateway.run_a_while()
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -57,6 +57,10 @@
 _MAX_CRASHES = 255
 _MAX_AGE_UNITS = 65_535
 _MAX_DEMAND = 65_000.0
+
+#: Higher rates in requests/s are left out, as no VM reaches them.
+_MAX_RATE = 1e9
+
 _MAX_VERSION = 2**64 - 1
 
 #: Unit of a limit's age, and the rate that stands for a limit that has ended.
@@ -214,7 +218,11 @@
         "sequence": reader.sequence,
         "revisions": tuple(reader.revisions),
         "targets": _unpack(_TARGET_COUNT, TargetCount, reader.targets),
-        "rates": _unpack(_SERVICE_RATE, ServiceRate, reader.rates),
+        "rates": tuple(
+            rate
+            for rate in _unpack(_SERVICE_RATE, ServiceRate, reader.rates)
+            if 0 <= rate.rate <= _MAX_RATE
+        ),
         "crashes": tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
         "members": tuple(
             _read_identity(item) for item in reader.members if is_ip_address(item.host)
