Refuse numbers and durations of the settings that are not in a range

What would be seen: a setting such as "cold_over = inf" or "retry_ratio = nan" was taken over; sharing the rate of a cold target then fails with OverflowError or ValueError on int(). A negative "stop" or "lookup_life" was taken over too.

Cause: numbers and durations without bounds of their own were only checked for their form.

Evidence: before the change, the 20 cases of test_number_out_of_range_is_refused and the three of test_negative_duration_is_refused failed.

Change: numbers must be from 0 to 1e9, durations not negative; others count as unreadable, so that the value in force or the default stays.

--- a/packages/core/src/carawayquay/settings.py
+++ b/packages/core/src/carawayquay/settings.py
@@ -35,6 +35,8 @@
 _MILLISECONDS = {"ms": 1.0, "s": 1000.0}
 #: Upper bound of port numbers, exclusive.
 _MAX_PORT = 65536
+#: Greatest value of a number without bounds of its own.
+_MAX_NUMBER = 1e9
 _LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -317,9 +319,15 @@
                 raise ValueError(raw)
             return raw
         case SettingKind.DURATION:
-            return parse_duration(raw)
+            duration = parse_duration(raw)
+            if duration < timedelta():
+                raise ValueError(raw)
+            return duration
         case SettingKind.NUMBER:
-            return float(raw)
+            value = float(raw)
+            if not 0 <= value <= _MAX_NUMBER:
+                raise ValueError(raw)
+            return value
         case SettingKind.PORTS:
             first, last = (int(part) for part in raw.split(","))
             if not 0 < first < last < _MAX_PORT:
