Skip odd objects in the product's own store client

What would be seen: one object of the product's store without a name or version, or with one of another type, ended the daemon's watcher with KeyError or TypeError, which is no StoreError; so did a response that is no JSON object.

Cause: the fields of responses were taken as they came.

Change: an odd object is logged as object-refused and skipped; an odd response is a StoreError; versions are below 2^40 and eras have at most 6 digits, since a version holds both in 60 bits.

--- a/packages/wire/src/carawayquay_wire/store.py
+++ b/packages/wire/src/carawayquay_wire/store.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import json
+import re
 import time
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from carawayquay.errors import ConflictError, StoreError, UnconfirmedWriteError
-from carawayquay.store_versions import combine_version, restores, stored_number
+from carawayquay.store_versions import NUMBER_BITS, combine_version, restores, stored_number
+from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpRequest, HttpResponse
 from carawayquay_wire.http_client import HttpClient, HttpError
 
@@ -21,6 +23,8 @@
 
 __all__ = ["StoreClient", "StoreListing", "StoreObject"]
 
+_log = EventLog("store")
+
 #: Time beyond its wait that a watch may take to respond before it fails.
 _WATCH_GRACE_SECONDS = 1.0
 _MIN_SERVER_ERROR_STATUS = 500
@@ -28,6 +32,11 @@
 #: Header with the store's era, which rises by one when the store is restored from an older copy.
 _ERA_HEADER = b"store-era"
 
+#: Matches a valid era, which fits into a version.
+_ERA = re.compile("[0-9]{1,6}")
+
+_MAX_VERSION = (1 << NUMBER_BITS) - 1
+
 
 @attrs.frozen
 class StoreObject:
@@ -82,8 +91,7 @@
         response = await self._read("get", f"/objects/{kind}/{name}", self._timeout_seconds)
         if response.status == 404:
             return None
-        value = _parse_json(response)
-        return StoreObject(kind, name, self._version(value["version"]), value["value"])
+        return self._parse_object(kind, {"name": name, **_parse_fields(response)})
 
     async def list(self, kind: str) -> StoreListing:
         """Return all objects of a kind.
@@ -91,7 +99,7 @@
         :raises StoreError: if the call fails or its response is not JSON
         """
         response = await self._read("list", f"/objects/{kind}", self._timeout_seconds)
-        return self._parse_listing(kind, _parse_json(response))
+        return self._parse_listing(kind, _parse_fields(response))
 
     async def watch(self, kind: str, after: int, wait: timedelta) -> StoreListing:
         """Wait for changes to objects of a kind and return the changed objects.
@@ -104,7 +112,7 @@
         wait_ms = int(wait.total_seconds() * 1000)
         path = f"/watch/{kind}?after={stored_number(after)}&wait_ms={wait_ms}"
         response = await self._read("watch", path, wait.total_seconds() + _WATCH_GRACE_SECONDS)
-        listing = self._parse_listing(kind, _parse_json(response))
+        listing = self._parse_listing(kind, _parse_fields(response))
         if restores(listing.revision) != restores(after):
             # The number may have been given out again, so that changes before it are missing.
             raise StoreError(f"{path}: the store was restored, its era is {self._era}")
@@ -133,7 +141,7 @@
             raise UnconfirmedWriteError(f"{kind}/{name}: store answered {response.status}")
         if response.status != 200:
             raise StoreError(f"{kind}/{name}: store answered {response.status}")
-        return self._version(_parse_json(response)["version"])
+        return self._version(_version_field(_parse_fields(response), "version"))
 
     async def close(self) -> None:
         """Close the connections to the store."""
@@ -157,7 +165,8 @@
         :raises HttpError: if the response is from before a restore
         """
         text = response.header(_ERA_HEADER)
-        era = int(text) if text is not None and text.isdecimal() else 0
+        valid = text is not None and _ERA.fullmatch(text) is not None
+        era = int(text) if valid else 0
         if era < self._era:
             raise HttpError(f"the response of era {era} is from before a restore", sent=True)
         self._era = era
@@ -165,12 +174,33 @@
     def _version(self, number: int) -> int:
         return combine_version(self._era, number)
 
-    def _parse_listing(self, kind: str, value: Any) -> StoreListing:
-        objects = tuple(
-            StoreObject(kind, item["name"], self._version(item["version"]), item["value"])
-            for item in value["items"]
-        )
-        return StoreListing(self._version(value["revision"]), objects)
+    def _parse_listing(self, kind: str, fields: dict[str, Any]) -> StoreListing:
+        """Parse a listing; log and skip the objects that cannot be read.
+
+        :raises StoreError: if the listing has no valid revision or list of objects
+        """
+        items = fields.get("items")
+        if not isinstance(items, list):
+            raise StoreError(f"{kind}: the store's response has no list of objects")
+        objects = []
+        for item in items:
+            try:
+                objects.append(self._parse_object(kind, item))
+            except StoreError as error:
+                _log.warning(Event.OBJECT_REFUSED, kind=kind, name="", reason=error)
+        return StoreListing(self._version(_version_field(fields, "revision")), tuple(objects))
+
+    def _parse_object(self, kind: str, item: Any) -> StoreObject:
+        """Parse one object.
+
+        :raises StoreError: if it has no valid name, version or value
+        """
+        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+            raise StoreError(f"{kind}: an object has no name")
+        if "value" not in item:
+            raise StoreError(f'{kind}: object "{item["name"]}" has no value')
+        version = self._version(_version_field(item, "version"))
+        return StoreObject(kind, item["name"], version, item["value"])
 
     async def _read(self, name: str, path: str, seconds: float) -> Any:
         request = HttpRequest("GET", path, (), b"")
@@ -189,8 +219,26 @@
     return StoreError(str(failure))
 
 
-def _parse_json(response: Any) -> Any:
+def _parse_fields(response: HttpResponse) -> dict[str, Any]:
+    """Return the fields of the JSON object in a response.
+
+    :raises StoreError: if there is none
+    """
     try:
-        return response.json()
+        fields = response.json()
     except ValueError as error:
         raise StoreError(f"store response is not JSON: {error}") from error
+    if not isinstance(fields, dict):
+        raise StoreError("store response is not a JSON object")
+    return fields
+
+
+def _version_field(fields: dict[str, Any], key: str) -> int:
+    """Return a version or revision.
+
+    :raises StoreError: if it is missing or invalid
+    """
+    value = fields.get(key)
+    if type(value) is not int or not 0 <= value <= _MAX_VERSION:
+        raise StoreError(f'the store\'s response has no valid "{key}"')
+    return value
