Refuse odd documents and VM lists as such in the daemon

What would be seen: a document or VM list that another VM passes on and that is nested too deep, or a VM list whose address is a number, ended the task that takes objects over with RecursionError or AttributeError.

Cause: only ValueError, KeyError and TypeError counted as an invalid object.

Change: both errors are turned into the refusal of that object.

--- a/packages/core/src/carawayquay/catalog.py
+++ b/packages/core/src/carawayquay/catalog.py
@@ -90,7 +90,7 @@
         """
         try:
             stored = json.loads(item.value)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise DocumentError((f'document of service "{item.name}" is not JSON',)) from error
         change, value = _unwrap(stored)
         self.adopt(StoredDocument(item.name, item.version, change, value))
--- a/packages/core/src/carawayquay/directory.py
+++ b/packages/core/src/carawayquay/directory.py
@@ -69,7 +69,7 @@
         """
         try:
             self.adopt(parse_domain_list(item.name, item.version, json.loads(item.value)))
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise ObjectError(str(error)) from error
 
     def adopt(self, listed: DomainList) -> bool:
--- a/packages/core/src/carawayquay/membership.py
+++ b/packages/core/src/carawayquay/membership.py
@@ -122,5 +122,5 @@
             state=VMState(item.get("state", "live")),
             admin=Address.parse(item["admin"]) if item.get("admin") else None,
         )
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f'VM list of failure domain "{domain}": bad entry {item!r}') from error
