End a planned stop within the stop time that is in force

Callers saw: after a reload that lowered the time of a planned stop, a VM drained for as long as the settings of its start said; it is killed before that, and the requests in flight get no answer.

Cause: the stop used the settings of the start instead of those in force, though the stop time is one that a reload changes. Besides, a stop time near the life of look-ups left no time to drain.

That a reload lowers this time is not shown as a cause of the report.

Change: the stop reads the settings in force, and waits for look-ups for at most 0.6 of its time; for the 6 s of the users' sites nothing changes (2.8 s).

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -78,6 +78,9 @@
 #: Time after which callers' cached look-ups that name this VM have expired.
 _LOOKUP_EXPIRY = timedelta(seconds=2.8)
 
+#: Largest share of a planned stop that waits for them; the rest is for the requests in flight.
+_MAX_EXPIRY_SHARE = 0.6
+
 
 class Gateway:
     """One gateway process: its components, listeners, background tasks and planned stop."""
@@ -231,11 +234,12 @@
         self._peer_server.announce_close()
         self._peers.announce()
         now = self._state.clock.now()
-        grace = self._settings.stop_grace - _EXIT_MARGIN
-        self._state.planned_stop = PlannedStop(now + _LOOKUP_EXPIRY, now + grace)
+        grace = max(timedelta(), self._state.settings.stop_grace - _EXIT_MARGIN)
+        expiry = min(_LOOKUP_EXPIRY, grace * _MAX_EXPIRY_SHARE)
+        self._state.planned_stop = PlannedStop(now + expiry, now + grace)
         async with curio.ignore_after(grace.total_seconds()):
             await curio.spawn(self._registrar.deregister, daemon=True)
-            await curio.sleep(_LOOKUP_EXPIRY.total_seconds())
+            await curio.sleep(expiry.total_seconds())
             for listener in (self._caller_listener, self._peer_listener):
                 await listener.close()
             for server in (self._caller_server, self._peer_server):
