Test how kept connections to targets may end

A target that closes, half-closes, resets or breaks off a kept connection when the next request on it is due leaves no caller without an answer: the request is answered by the target on a new connection, or with 502.

--- a/packages/gateway/tests/test_odd_target_answers.py
+++ b/packages/gateway/tests/test_odd_target_answers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import socket
+import struct
+
 import curio
 import pytest
 from curio.network import run_server, tcp_server_socket
@@ -16,6 +19,7 @@
 )
 from planned_work_targets import read_message
 
+from carawayquay.membership import Address
 from carawayquay_wire.http_server import HttpServer
 
 _END = b"\r\n\r\n"
@@ -106,11 +110,10 @@
 }
 
 
-async def _exchange_twice(step, method):
+async def _exchange_twice(address, method, kind="non_idempotent"):
     """Send two requests on a connection; return the status of each, None without an answer."""
-    stub = await ScriptedTarget(step, answer_bytes()).start()
-    kept = configuration(route(kind="non_idempotent"))
-    forwarder, _ = new_forwarder([("t0", target(stub.address))], kept)
+    kept = configuration(route(kind=kind))
+    forwarder, _ = new_forwarder([("t0", target(address))], kept)
     server = HttpServer(forwarder.handle, forwarder.reject)
     listening = tcp_server_socket("127.0.0.1", 0)
     await curio.spawn(run_server, listening, server.serve, daemon=True)
@@ -136,5 +139,63 @@
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
 @pytest.mark.parametrize("name", _ODD_ANSWERS)
 def test_odd_answer_of_a_target_leaves_no_caller_without_an_answer(name, method):
-    statuses = run(_exchange_twice, _ODD_ANSWERS[name], method)
-    assert None not in statuses
+    async def check():
+        stub = await ScriptedTarget(_ODD_ANSWERS[name], answer_bytes()).start()
+        return await _exchange_twice(stub.address, method)
+
+    assert None not in run(check)
+
+
+class _EndingTarget:
+    """Target that ends each connection in a certain way when its second request is due."""
+
+    def __init__(self, how):
+        self._how = how
+        self.address = None
+
+    async def start(self):
+        sock = tcp_server_socket("127.0.0.1", 0)
+        self.address = Address("127.0.0.1", sock.getsockname()[1])
+        await curio.spawn(run_server, sock, self._serve, daemon=True)
+        return self
+
+    async def _serve(self, sock, _):
+        await read_message(sock)
+        if self._how == "half-close before the answer":
+            await sock.shutdown(socket.SHUT_WR)
+            await sock.recv(1)
+            return
+        await sock.sendall(answer_bytes())
+        if self._how == "half-close after an answer":
+            await sock.shutdown(socket.SHUT_WR)
+            await sock.recv(65536)
+        elif self._how == "reset after an answer":
+            await read_message(sock)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        elif self._how == "close with the request read":
+            await read_message(sock)
+        elif self._how == "close within the answer":
+            await read_message(sock)
+            await sock.sendall(answer_bytes()[:-1])
+
+
+@pytest.mark.parametrize("kind", ["idempotent", "non_idempotent"])
+@pytest.mark.parametrize(
+    ("how", "statuses"),
+    [
+        ("half-close before the answer", [502, 502]),
+        ("half-close after an answer", [200, 200]),
+        ("close after an answer", [200, 200]),
+        ("reset after an answer", [200, 502]),
+        ("close with the request read", [200, 502]),
+        ("close within the answer", [200, 502]),
+    ],
+)
+def test_end_of_a_kept_connection_to_a_target_leaves_no_caller_without_an_answer(
+    how, statuses, kind
+):
+    async def check():
+        target_stub = await _EndingTarget(how).start()
+        return await _exchange_twice(target_stub.address, "POST", kind)
+
+    assert run(check) == statuses
