--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -4,9 +4,13 @@
 
 import zlib
 from functools import lru_cache
+from typing import Any
 
 import attrs
 
+from carawayquay.errors import FrameError
+from carawayquay.membership import is_ip_address
+
 __all__ = [
     "CrashReport",
     "DomainSummary",
@@ -17,6 +21,7 @@
     "VMIdentity",
     "WarmObject",
     "short_hash",
+    "with_usable_hosts",
 ]
 
 
@@ -162,3 +167,18 @@
     limits: tuple[TargetLimitReport, ...] | None = None
     era: int = 0
     version: int = 0
+
+
+def with_usable_hosts(message: LoadReport | DomainSummary) -> Any:
+    """Return a message without the members whose host is no IP address.
+
+    A datagram to another host would look its name up, or fail.
+
+    :raises FrameError: if the host of the sender is none
+    """
+    if not is_ip_address(message.sender.host):
+        raise FrameError(f"host {message.sender.host!r} of a sender is not an IP address")
+    usable = tuple(member for member in message.members if is_ip_address(member.host))
+    if len(usable) == len(message.members):
+        return message
+    return attrs.evolve(message, members=usable)
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -9,7 +9,13 @@
 import curio
 
 from carawayquay.errors import FrameError
-from carawayquay.load_reports import LoadReport, ServiceRate, TargetCount, short_hash
+from carawayquay.load_reports import (
+    LoadReport,
+    ServiceRate,
+    TargetCount,
+    short_hash,
+    with_usable_hosts,
+)
 from carawayquay_gateway.datagrams import DatagramSocket
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.reports import decode_report, encode_report
@@ -92,7 +98,7 @@
 
     def _handle_datagram(self, data: bytes, host: str) -> None:
         try:
-            report = decode_report(data)
+            report = with_usable_hosts(decode_report(data))
         except FrameError as error:
             _log.warning(Event.REPORT_REFUSED, peer=host, reason=error)
             return
--- a/packages/gateway/src/carawayquay_gateway/summaries.py
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -9,7 +9,13 @@
 
 from carawayquay.domain_relays import relays
 from carawayquay.errors import FrameError
-from carawayquay.load_reports import DomainSummary, ServiceRate, TargetCount, short_hash
+from carawayquay.load_reports import (
+    DomainSummary,
+    ServiceRate,
+    TargetCount,
+    short_hash,
+    with_usable_hosts,
+)
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_gateway.datagrams import DatagramSocket
 from carawayquay_wire.events import Event, EventLog
@@ -190,7 +196,7 @@
 
     def _handle_datagram(self, data: bytes, host: str) -> None:
         try:
-            summary = decode_summary(data)
+            summary = with_usable_hosts(decode_summary(data))
         except FrameError as error:
             _log.warning(Event.REPORT_REFUSED, peer=host, reason=error)
             return
--- a/packages/gateway/tests/test_odd_datagrams.py
+++ b/packages/gateway/tests/test_odd_datagrams.py
@@ -24,6 +24,7 @@
     VMIdentity,
     WarmObject,
     short_hash,
+    with_usable_hosts,
 )
 from carawayquay.warm_gossip import WarmGossip
 from carawayquay_gateway.lookups import LookupApi
@@ -169,9 +170,9 @@
         (encode_summary, decode_summary, lambda **of: DomainSummary(**of, vms=1)),
     ):
         with pytest.raises(FrameError):
-            decode(encode(message(sender=odd, sequence=1, revisions=())))
+            with_usable_hosts(decode(encode(message(sender=odd, sequence=1, revisions=()))))
         whole = message(sender=sound, sequence=1, revisions=(), members=(odd, sound))
-        assert decode(encode(whole)).members == (sound,)
+        assert with_usable_hosts(decode(encode(whole))).members == (sound,)
 
 
 @pytest.mark.parametrize("cut", [1, 2, 100, 9_000, 30_000, 60_000])
--- a/packages/gateway/tests/test_odd_settings.py
+++ b/packages/gateway/tests/test_odd_settings.py
@@ -11,6 +11,7 @@
 from carawayquay.settings import read_settings
 from carawayquay_gateway.reload import SettingsReloader
 from carawayquay_gateway.settings import parse_gateway_settings
+from carawayquay_gateway.settings_file import SettingsFile
 
 _LINES = SETTINGS_TEXT.splitlines()
 
@@ -21,13 +22,13 @@
     path.write_bytes(data)
     state = new_state()
     before = state.settings
-    SettingsReloader(state, path).reload()
+    SettingsReloader(state, SettingsFile(path)).reload()
     assert state.settings == before
 
 
 def test_folder_in_place_of_the_file_leaves_the_current_settings_in_force(tmp_path):
     state = new_state()
-    SettingsReloader(state, tmp_path).reload()
+    SettingsReloader(state, SettingsFile(tmp_path)).reload()
     assert state.settings == settings()
 
 
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -26,7 +26,6 @@
     VMIdentity,
     WarmObject,
 )
-from carawayquay.membership import is_ip_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -224,9 +223,7 @@
             if 0 <= rate.rate <= _MAX_RATE
         ),
         "crashes": tuple(CrashReport(item.fingerprint, item.crashes) for item in reader.crashes),
-        "members": tuple(
-            _read_identity(item) for item in reader.members if is_ip_address(item.host)
-        ),
+        "members": tuple(_read_identity(item) for item in reader.members),
         "warmed": _unpack(_WARM_OBJECT, WarmObject, reader.warmed),
         "limits": (
             _unpack(_TARGET_LIMIT, _read_limit, reader.limits) if reader.limitsReported else None
@@ -276,10 +273,4 @@
 
 
 def _read_identity(reader: Any) -> VMIdentity:
-    """Return the identity of a VM.
-
-    :raises ValueError: if its host is no IP address
-    """
-    if not is_ip_address(reader.host):
-        raise ValueError(f"host {reader.host!r} is not an IP address")
     return VMIdentity(reader.name, reader.host, reader.domain, reader.region, reader.incarnation)
