Refuse hosts that no socket takes in settings and documents

What would be seen: a seed in the settings, or an address in a document, whose host holds a NUL, a space or letters beyond ASCII was taken over. sendto and connect raise TypeError for some of them ("host name must not contain null character", "encoding of hostname failed"), which is no OSError, and which ends the task that sends to the seeds.

Cause: only the port of an address was checked.

Evidence: before the change, four of the five cases of test_address_that_no_socket_takes_is_refused failed (no error).

Change: a host is one or more printable ASCII characters without spaces. Names stay possible.

--- a/packages/core/src/carawayquay/membership.py
+++ b/packages/core/src/carawayquay/membership.py
@@ -11,8 +11,13 @@
 
 __all__ = ["Address", "DomainList", "EntryVM", "VMState", "is_ip_address", "parse_domain_list"]
 
+#: Matches any host that a socket takes; other texts raise errors that are no OSError.
+_HOST = re.compile("[!-~]+")
 _PORT = re.compile("[0-9]{1,9}")
 
+#: Upper bound of port numbers, exclusive.
+_MAX_PORT = 65536
+
 
 @lru_cache(maxsize=8192)
 def is_ip_address(host: str) -> bool:
@@ -47,8 +52,9 @@
 
         :raises ValueError: if *text* is not ``host:port``
         """
-        host, separator, port = text.rpartition(":")
-        if not separator or not host or not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
+        host, _, port = text.rpartition(":")
+        valid = _HOST.fullmatch(host) and _PORT.fullmatch(port) and 0 < int(port) < _MAX_PORT
+        if not valid:
             raise ValueError(f'address "{text}" is not host:port')
         return cls(host, int(port))
 
--- a/packages/gateway/tests/test_odd_addresses.py
+++ b/packages/gateway/tests/test_odd_addresses.py
@@ -62,6 +62,12 @@
         parse_entry_vm(stored("vm", entry_vm_spec(identity(host=host))))
 
 
+@pytest.mark.parametrize("host", ["a\x00b", "\xfc" * 64 + ".example", "\ud800", "a b", ""])
+def test_address_that_no_socket_takes_is_refused(host):
+    with pytest.raises(ValueError, match="host:port"):
+        Address.parse(f"{host}:80")
+
+
 @given(st.text())
 def test_any_text_is_an_address_or_refused(text):
     try:
