Tell VMs that follow another one at once that targets left

Callers saw: nothing; a request reached a target 2,544 ms after the store had acknowledged that it left (DRAIN, 2,500 allowed), from a VM that learned of it 0.44 s after the VM of its domain that watches the store.

Cause: that VM reports at its next tick (0.2 s), datagrams are read in batches (0.1 s), and a follower acts on what was reported at its next tick (0.2 s).

Change: a report of a VM of the domain that is ahead wakes the tasks that follow; the VM that takes from the store that targets left reports at once, at most once in the interval of regular reports (tested with 100 departures in a row).

--- a/packages/core/src/carawayquay/discovery.py
+++ b/packages/core/src/carawayquay/discovery.py
@@ -68,6 +68,7 @@
         self._by_service: dict[str, tuple[RegisteredTarget, ...]] = {}
         self._pools: dict[tuple[str, str, str], TargetPool] = {}
         self._changes = 0
+        self._departures = 0
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -80,6 +81,11 @@
         """The number of changes since the start."""
         return self._changes
 
+    @property
+    def departures(self) -> int:
+        """The number of times that a ready target was removed or began to drain."""
+        return self._departures
+
     def get(self, name: str) -> RegisteredTarget | None:
         """Return a target by its name, or None."""
         return self._targets.get(name)
@@ -135,8 +141,7 @@
         if before is None or before.incarnation != target.incarnation:
             self._cold_until.pop(target.name, None)
         self.mark_cold(target.name, target.cold_for, now)
-        self._note_change()
-        return TargetChange(before, target)
+        return self._noted(TargetChange(before, target))
 
     def remove(self, name: str) -> TargetChange | None:
         """Remove a target; return the change, or None if it was not registered."""
@@ -144,13 +149,20 @@
         self._cold_until.pop(name, None)
         if before is None:
             return None
-        self._note_change()
-        return TargetChange(before, None)
+        return self._noted(TargetChange(before, None))
 
-    def _note_change(self) -> None:
+    def _noted(self, change: TargetChange) -> TargetChange:
+        """Count a change, drop what was derived from the targets before it, and return it."""
         self._by_service.clear()
         self._pools.clear()
         self._changes += 1
+        if _ready(change.before) and not _ready(change.after):
+            self._departures += 1
+        return change
+
+
+def _ready(target: RegisteredTarget | None) -> bool:
+    return target is not None and target.state is TargetState.READY
 
 
 def _outdated(target: RegisteredTarget, known: RegisteredTarget) -> bool:
--- a/packages/gateway/src/carawayquay_gateway/datagrams.py
+++ b/packages/gateway/src/carawayquay_gateway/datagrams.py
@@ -12,7 +12,7 @@
 from carawayquay_wire.reports import MAX_DATAGRAM_BYTES
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Awaitable, Callable, Iterable
     from typing import Any
 
     from carawayquay.membership import Address
@@ -39,10 +39,16 @@
         self._sock = Socket(self._raw_socket)
         self._port = address.port
 
-    async def receive(self, handler: Callable[[bytes, str], None]) -> None:
+    async def receive(
+        self,
+        handler: Callable[[bytes, str], None],
+        after_batch: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         """Pass each datagram and its sender's host to a handler, until cancelled.
 
         Datagrams that have queued up are read without going through the event loop for each.
+
+        :param after_batch: called after the datagrams of each batch
         """
         while True:
             with suppress(OSError):
@@ -50,6 +56,8 @@
                 with suppress(BlockingIOError):
                     for _ in range(_MAX_BATCH):
                         self._deliver(handler, *self._raw_socket.recvfrom(MAX_DATAGRAM_BYTES))
+            if after_batch is not None:
+                await after_batch()
             await curio.sleep(_BATCH_SECONDS)
 
     def send(self, data: bytes, hosts: Iterable[str]) -> None:
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -16,6 +16,7 @@
     short_hash,
     with_usable_hosts,
 )
+from carawayquay.report_timing import Distance, report_timing
 from carawayquay_gateway.datagrams import DatagramSocket
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.reports import decode_report, encode_report
@@ -88,14 +89,25 @@
         """Send and receive until cancelled."""
         self._sock = DatagramSocket(self._state.settings.reports, "report", self._state.metrics)
         async with curio.TaskGroup() as group:
-            await group.spawn(self._sock.receive, self._handle_datagram)
+            await group.spawn(self._sock.receive, self._handle_datagram, self._state.wake_followers)
             await group.spawn(self._send)
+            await group.spawn(self._announce_departures)
 
     def announce(self) -> None:
-        """Send a report to every VM of the domain at once, to announce that this VM is draining."""
+        """Send a report to every VM of the domain at once, as it may not wait until it is due."""
         if self._sock is not None:
             self._send_to([peer.identity.host for peer in self._state.peers.domain_peers])
 
+    async def _announce_departures(self) -> None:
+        """Report at once that targets left, at most once in the interval of regular reports."""
+        state = self._state
+        while True:
+            await state.departures_known.wait()
+            state.departures_known.clear()
+            self.announce()
+            vms = len(state.peers.domain_peers)
+            await curio.sleep(report_timing(Distance.DOMAIN, vms).interval.total_seconds())
+
     def _handle_datagram(self, data: bytes, host: str) -> None:
         try:
             report = with_usable_hosts(decode_report(data))
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import curio
 
 from carawayquay.cold_rates import ColdRateLimit, ColdRequestRates
 from carawayquay.discovery import TargetRegistry
@@ -15,6 +16,7 @@
 from carawayquay.idle_timeouts import IdleTimeouts
 from carawayquay.load_reports import short_hash
 from carawayquay.local_share import RegionLoad
+from carawayquay.store_revision import NO_REVISION
 from carawayquay.store_watch import must_watch_store
 from carawayquay.target_limits import FleetView, ServiceLoad, TargetLimits
 from carawayquay.target_reach import TargetReach
@@ -79,6 +81,11 @@
         #: The course of the planned stop, None before it begins.
         self.planned_stop: PlannedStop | None = None
         self.ticker = Ticker(Random(identity.incarnation ^ short_hash(identity.name)))
+        #: Set for a moment when a VM of the own domain reports changes that this VM does not have.
+        self.changes_reported = curio.Event()
+        #: Set when this VM took from the store that targets left, until other VMs are told.
+        self.departures_known = curio.Event()
+        self._told_departures = 0
         #: Whether the last store call succeeded, for each kind that this VM itself watches.
         self.store_answered: dict[ObjectKind, bool] = {}
         self.configuration: Configuration | None = None
@@ -161,6 +168,30 @@
         now = self.clock.now()
         return must_watch_store(self.identity, self.peers, now, self.replica_era)
 
+    async def announce_departures(self) -> None:
+        """Have other VMs told if targets left since the last call."""
+        if self.targets.departures != self._told_departures:
+            self._told_departures = self.targets.departures
+            await self.departures_known.set()
+
+    async def wake_followers(self) -> None:
+        """Wake the tasks that wait for changes, if a VM of the own domain reports any."""
+        now = self.clock.now()
+        if any(self._is_behind_domain(index, now) for index in range(len(self.replicas))):
+            await self.changes_reported.set()
+            self.changes_reported.clear()
+
+    def _is_behind_domain(self, index: int, now: timedelta) -> bool:
+        """Return whether a VM of the own domain is ahead for one kind of objects.
+
+        :param index: the position of the kind in reported revisions
+        """
+        known = list(self.replicas.values())[index].revision or NO_REVISION
+        if self.peers.newest_revision(index) <= known:
+            return False
+        holders = self.peers.holders(index, now)
+        return any(holder.same_domain and holder.revision > known for holder in holders)
+
     def service(self, name: str) -> ServiceState:
         """Return the statistics of a service, created on first use."""
         found = self._services.get(name)
--- a/packages/gateway/src/carawayquay_gateway/ticker.py
+++ b/packages/gateway/src/carawayquay_gateway/ticker.py
@@ -25,7 +25,16 @@
     def __init__(self, random: Random) -> None:
         self._phase = random.random() * _TICK_SECONDS
 
+    @property
+    def seconds_left(self) -> float:
+        """The seconds until the next tick."""
+        return _TICK_SECONDS - (time.monotonic() - self._phase) % _TICK_SECONDS
+
     async def next(self) -> None:
         """Wait for the next tick."""
-        passed = (time.monotonic() - self._phase) % _TICK_SECONDS
-        await curio.sleep(_TICK_SECONDS - passed)
+        await curio.sleep(self.seconds_left)
+
+    async def next_or(self, event: curio.Event) -> None:
+        """Wait for the next tick, or until an event is set."""
+        async with curio.ignore_after(self.seconds_left):
+            await event.wait()
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -123,10 +123,10 @@
             await curio.sleep(_NEIGHBOUR_POLL_SECONDS)
 
     async def _follow_peers(self) -> None:
-        """Pull changes from the VMs that watch the store, and wait for the next tick."""
+        """Pull changes from the VMs that watch the store, and wait for others or the next tick."""
         self._state.store_answered.pop(self._replica.kind, None)
         await self._pull_from_newest()
-        await self._state.ticker.next()
+        await self._state.ticker.next_or(self._state.changes_reported)
 
     async def _follow_store(self) -> None:
         """Make one list or watch call to the store and apply its result.
@@ -142,6 +142,7 @@
                     f"{self._replica.revision}"
                 )
             self._must_list = False
+            await self._state.announce_departures()
             return
         self._state.store_answered.setdefault(self._replica.kind, True)
         changes = await self._watch_until_behind()
@@ -149,6 +150,7 @@
             self._must_list = True
             return
         self._replica.apply_changes(changes)
+        await self._state.announce_departures()
         if changes.events:
             await curio.sleep(_BATCH_SECONDS)
 
