Hold missing targets after an outage only until all could have registered

Callers saw: nothing; a request reached a target 2,544 ms after the store had acknowledged that it left (DRAIN, 2,500 allowed), 3 s after a short outage of the store.

Cause: a ready target that goes missing within 3.5 s of a failed store call was held for 2 s from when the VM heard of it, also where the store had been back for almost 3 s.

Evidence: test_object_applier.py, a target that goes missing 2.0, 3.0 or 3.4 s after the failure: all three failed before, as it was still in use 3.5 s after the failure.

Change: the hold ends 3.5 s after the failure at the latest, and after 2 s as before. Targets that a restored store lacks are held for 2 s as before.

--- a/packages/gateway/src/carawayquay_gateway/object_applier.py
+++ b/packages/gateway/src/carawayquay_gateway/object_applier.py
@@ -25,7 +25,7 @@
 _log = EventLog("adoption")
 
 #: Time after a store failure in which a missing ready target may still be alive: its registration
-#: may have expired because it could not be renewed.
+#: may have expired because it could not be renewed. All live targets register again within it.
 _OUTAGE_WINDOW = timedelta(seconds=3.5)
 
 #: Grace period for a live target to register again after its registration expired in an outage.
@@ -226,16 +226,20 @@
         self._withheld_until.pop(name, None)
         self._outdated.discard(name)
         current = self._state.targets.get(name)
-        ready = current is not None and current.state is TargetState.READY
         now = self._state.clock.now()
-        if ready and (self._in_outage_window(now) or ("target", name) in self._lost):
-            self._removals_due.setdefault(name, now + _REGISTRATION_GRACE)
+        held_until = self._held_until(name, now)
+        if current is not None and current.state is TargetState.READY and held_until > now:
+            self._removals_due.setdefault(name, held_until)
             return
         self._remove_target(name)
 
-    def _in_outage_window(self, now: timedelta) -> bool:
+    def _held_until(self, name: str, now: timedelta) -> timedelta:
+        """Return until when a missing target may be alive and not have registered again yet."""
+        grace_end = now + _REGISTRATION_GRACE
+        if ("target", name) in self._lost:
+            return grace_end
         failed_at = self._state.store_failed_at
-        return failed_at is not None and now - failed_at < _OUTAGE_WINDOW
+        return now if failed_at is None else min(grace_end, failed_at + _OUTAGE_WINDOW)
 
     def _restored_recently(self) -> bool:
         """Return whether objects may come from the copy that the store was restored from."""
--- a/packages/gateway/tests/test_object_applier.py
+++ b/packages/gateway/tests/test_object_applier.py
@@ -4,6 +4,7 @@
 
 from datetime import timedelta
 
+import pytest
 from gateway_builders import listing, new_state, stored, target
 
 from carawayquay.clock import ManualClock
@@ -54,6 +55,18 @@
     assert state.targets.get("t1") is None
 
 
+@pytest.mark.parametrize("seconds", [2.0, 3.0, 3.4])
+def test_target_that_leaves_after_an_outage_is_held_until_all_could_have_registered(seconds):
+    state, clock = _state()
+    state.store_failed_at = clock.now()
+    clock.advance(timedelta(seconds=seconds))
+    _list(state, 30)
+    assert state.targets.get("t1") is not None
+    clock.advance(timedelta(seconds=3.5 - seconds))
+    state.update(clock.now())
+    assert state.targets.get("t1") is None
+
+
 def test_drained_target_is_removed_at_once_even_after_an_outage():
     state, clock = _state(state="draining")
     state.store_failed_at = clock.now()
