--- a/standins/tests/test_document_restores.py
+++ b/standins/tests/test_document_restores.py
@@ -15,6 +15,9 @@
 #: Time for which a lost document is missing in the store, less than the grace for writing it again.
 MISSING_SECONDS = 2.0
 
+#: Time for which a lost document is missing that is not written again, beyond that grace.
+_LOST_SECONDS = 13.0
+
 
 @pytest.fixture
 def site(tmp_path):
@@ -70,3 +73,19 @@
         "the lost document is in force everywhere",
         IN_FORCE_SECONDS,
     )
+
+
+def test_vms_restarted_over_a_restore_keep_a_document_that_is_never_written_again(site):
+    monitor = VersionMonitor(site)
+    copy = stored_number(site)
+    lost = monitor.change("puget-a")
+    monitor.wait_in_force(lost)
+    restore(site, copy)
+    for vm in ("puget-a-1", "puget-a-2"):
+        site.vms[vm].kill()
+        site.vms[vm].start()
+    monitor.wait_in_force(lost)
+    until = time.monotonic() + _LOST_SECONDS
+    while time.monotonic() < until:
+        assert {monitor.version(vm) for vm in site.vms} == {lost}
+        time.sleep(0.1)
