Let a planned stop wait until the backlog of its listeners is being served

Callers would see: a new connection that is accepted in the last moments of a planned stop of an idle VM ends without an answer, although its request was passed on.

Cause: closing a listener returned before the 50 ms in which it takes its backlog, so that a stop without open connections ended at its first look.

Evidence: in review, on a model of the stop, 3 of 9 connections that came as it drained were passed on and got nothing. test_close_returns_when_the_backlog_is_being_served failed before (0 of 5 connections). Closing waits for the backlog now.

--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -43,6 +43,7 @@
         self._serve = serve
         self._sock: Any = None
         self._accept_task: Any = None
+        self._closed = curio.Event()
 
     async def run(self) -> None:
         """Accept connections until :meth:`close` is called or the task is cancelled.
@@ -62,6 +63,7 @@
                 await self._accept_task.cancel()
             async with curio.ignore_after(_BACKLOG_DRAIN_SECONDS):
                 await self._accept_loop()
+        await self._closed.set()
 
     async def run_forever(self) -> None:
         """Accept connections; after :meth:`close`, wait for cancellation.
@@ -72,7 +74,7 @@
         await curio.Event().wait()
 
     async def close(self) -> None:
-        """Make :meth:`run` accept the backlog and return; open connections continue.
+        """Make :meth:`run` accept the backlog, and return then; open connections continue.
 
         If the socket were closed at once, the kernel would reset the connections in the backlog,
         which their callers see as established and may have sent requests on.
@@ -82,6 +84,7 @@
         """
         if self._accept_task is not None:
             await self._accept_task.cancel()
+            await self._closed.wait()
 
     async def _accept_loop(self) -> None:
         while True:
--- a/packages/wire/tests/test_listener.py
+++ b/packages/wire/tests/test_listener.py
@@ -72,6 +72,25 @@
     curio.run(go)
 
 
+def test_close_returns_when_the_backlog_is_being_served():
+    async def go():
+        served = []
+
+        async def serve(sock, _):
+            served.append(sock)
+            await sock.recv(9)
+
+        port = _free_port()
+        listener = Listener(Address("127.0.0.1", port), serve)
+        await curio.spawn(listener.run, daemon=True)
+        await curio.sleep(0.01)
+        callers = [socket.create_connection(("127.0.0.1", port)) for _ in range(5)]
+        await curio.timeout_after(1.0, listener.close)
+        assert len(served) == len(callers)
+
+    curio.run(go)
+
+
 def _free_port():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
