Send an answer that is there without waiting for the memory of uploads

Callers would see: an answer of more than 64 KB waits while stalled uploads hold the memory of bodies, up to a minute, and is lost if the VM is stopped meanwhile; their leaving went unnoticed.

Cause: before an answer was sent, its size was reserved in the budget of bodies, without a limit of time, though the answer was in memory either way.

The answer is counted in the budget at once, so that later uploads wait instead.

--- a/packages/wire/src/carawayquay_wire/body_budget.py
+++ b/packages/wire/src/carawayquay_wire/body_budget.py
@@ -58,6 +58,10 @@
                 await self._released.wait()
             self._used += size
 
+    def count(self, size: int) -> None:
+        """Count bytes that are in memory already, also beyond the capacity."""
+        self._used += size
+
     async def release(self, size: int) -> None:
         """Return bytes to the budget and wake the bodies that wait."""
         async with self._released:
@@ -81,6 +85,15 @@
             await self._budget.acquire(size - self._size, already_reserved=self._size)
             self._size = size
 
+    def count(self, size: int) -> None:
+        """Extend the reservation to the size of a body that is in memory already, without waiting.
+
+        Bodies that come later wait for the budget instead.
+        """
+        if size > max(self._size, SMALL_BODY_BYTES):
+            self._budget.count(size - self._size)
+            self._size = size
+
     async def release(self) -> None:
         """Return the reserved memory to the budget."""
         size, self._size = self._size, 0
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -156,7 +156,7 @@
 
         A request that arrives from then on is not handled, since it could not be answered.
         """
-        if is_readable(sock):
+        if sock not in self._idle or is_readable(sock):
             return
         self._idle.discard(sock)
         self._note_end(cause)
@@ -199,10 +199,10 @@
         if response is None:
             return False
         method = request.method
-        # Frees the request's body before memory for the response is reserved.
+        # Frees the request's body; the response's is in memory already.
         del request
         await reservation.release()
-        await reservation.grow_to(len(response.body))
+        reservation.count(len(response.body))
         if not await self._write(sock, connection, response, method):
             self._note_end(ConnectionEnd.UNDELIVERED, response)
             return False
