Write the log lines of requests that the end of a stop cuts off, and answer for faults of a helping VM

Found in review: the lines of requests that were cancelled when a process ended stayed in the queue, and said that the caller had left; they are written now and say stopping=True. An error while a VM serves another VM's request closed the connection with no line; it is logged, and the other VM hears that a target may have received the request.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -286,4 +286,8 @@
     output = LogWriter(sys.stdout.fileno())
     set_up_bounded_logging(loaded.log_level, output)
     log_problems(loaded, file.path)
-    curio.run(Gateway(loaded, file, output).run, reload_signal)
+    try:
+        curio.run(Gateway(loaded, file, output).run, reload_signal)
+    finally:
+        # The requests that the end cuts off log so when their tasks are cancelled.
+        output.flush()
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -94,7 +94,8 @@
         try:
             return await self._handle(call)
         except curio.TaskCancelled:
-            _log.info(Event.REQUEST_LEFT, id=call.request_id)
+            stopping = self._state.stopping
+            _log.info(Event.REQUEST_LEFT, id=call.request_id, stopping=stopping)
             raise
         except Exception:
             _log.error(Event.HANDLER_FAILED, id=call.request_id)
--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -72,6 +72,9 @@
         except curio.TaskCancelled:
             _log.info(Event.REQUEST_LEFT, id=request.call.request_id, sender=request.sender)
             raise
+        except Exception:
+            _log.error(Event.HANDLER_FAILED, id=request.call.request_id, sender=request.sender)
+            answer = FailedForPeer("", "", False)
         finally:
             self._active -= 1
         self._note(request, answer)
