Don't hold a request's own refusal against the VM that refused it

A request that one helping VM refused, since equal ones crash targets, went on to the next VM, which sent it to a target; and the VM that refused was not used for other requests for a second. VMs that refuse one request are now remembered for the request, six at most; a refusal for crashes is final; a connection above the limit is refused as busy.

--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -10,11 +10,20 @@
     from datetime import timedelta
 
     from carawayquay.forwarding import CallerRequest, TargetAnswer
+    from carawayquay.load_reports import VMIdentity
     from carawayquay.placement import Placement
     from carawayquay.routes import Route
     from carawayquay.target_limits import LimitReached
 
-__all__ = ["Answered", "Attempt", "AttemptEnd", "Exchange", "FailureAnswer", "Unanswered"]
+__all__ = [
+    "Answered",
+    "Attempt",
+    "AttemptEnd",
+    "Exchange",
+    "FailureAnswer",
+    "RequestCrashesTargets",
+    "Unanswered",
+]
 
 
 @attrs.frozen
@@ -87,6 +96,11 @@
     limit_reached: LimitReached | None = None
 
 
+@attrs.frozen
+class RequestCrashesTargets:
+    """Another VM knows that equal requests crash targets, so that none may get this one."""
+
+
 @attrs.frozen
 class FailureAnswer:
     """A target's answer with a failure status, returned if no other target succeeds."""
@@ -105,6 +119,7 @@
     :param fingerprint: hash by which equal requests are recognised
     :param tried_targets: names of the targets that were attempted, reached or not
     :param unreachable_targets: names of those to which no connection could be opened
+    :param refusing_peers: the other VMs that did not send it to any target
     :param sent: number of targets that may have received the request
     :param may_have_run: whether a target may have started to run it
     :param target_failure: the last answer with a failure status that was withheld for a retry
@@ -120,6 +135,7 @@
     fingerprint: int
     tried_targets: set[str] = attrs.field(factory=set)
     unreachable_targets: set[str] = attrs.field(factory=set)
+    refusing_peers: set[VMIdentity] = attrs.field(factory=set)
     sent: int = 0
     may_have_run: bool = False
     target_failure: FailureAnswer | None = None
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -20,6 +20,7 @@
     AttemptEnd,
     Exchange,
     FailureAnswer,
+    RequestCrashesTargets,
     Unanswered,
 )
 from carawayquay_platform import headers
@@ -155,9 +156,7 @@
                 exchange, ErrorKind.STOPPING, "this VM stops before the deadline", _STOPPING_RETRY
             )
         if self._crashes.refused(exchange.fingerprint, now):
-            return self._answers.exchange_error(
-                exchange, ErrorKind.CRASHES_TARGETS, "equal requests crashed targets"
-            )
+            return self._crash_error(exchange)
         return await self._forward(exchange)
 
     async def _forward(self, exchange: Exchange) -> HttpResponse:
@@ -170,6 +169,8 @@
                 case NoCapacity() as refused:
                     exchange.limit_reached = refused.limit_reached
                     return self._final_error(exchange, refused.wait)
+                case RequestCrashesTargets():
+                    return self._crash_error(exchange)
                 case AttemptEnd() as end:
                     answer = self._handle_end(exchange, end)
             if answer is not None:
@@ -177,7 +178,7 @@
             if not self._take_retry(exchange):
                 return self._final_error(exchange, _RETRY_WAIT)
 
-    async def _attempt(self, exchange: Exchange) -> AttemptEnd | NoCapacity:
+    async def _attempt(self, exchange: Exchange) -> AttemptEnd | NoCapacity | RequestCrashesTargets:
         """Send a request to one target, through another VM if this one reaches no target."""
         unreachable = len(exchange.unreachable_targets)
         if self._state.reach.cut_off or unreachable >= _MAX_UNREACHABLE:
@@ -236,6 +237,14 @@
             return None
         return self._answers.from_target(exchange, attempt, answer)
 
+    def _crash_error(self, exchange: Exchange) -> HttpResponse:
+        """Return the final answer to a request that crashes targets."""
+        if exchange.may_have_run:
+            return self._final_error(exchange, None)
+        return self._answers.exchange_error(
+            exchange, ErrorKind.CRASHES_TARGETS, "equal requests crashed targets"
+        )
+
     def _deadline_error(self, exchange: Exchange) -> HttpResponse:
         """Return the final answer after the deadline."""
         kind = ErrorKind.TARGET_TIMEOUT if exchange.may_have_run else ErrorKind.TIMED_OUT_UNSENT
--- a/packages/gateway/src/carawayquay_gateway/peer_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_calls.py
@@ -9,7 +9,13 @@
 from carawayquay.forwarding_peers import ForwardingPeers
 from carawayquay.membership import Address
 from carawayquay.placement import NoCapacity
-from carawayquay_gateway.exchanges import Answered, Attempt, AttemptEnd, Unanswered
+from carawayquay_gateway.exchanges import (
+    Answered,
+    Attempt,
+    AttemptEnd,
+    RequestCrashesTargets,
+    Unanswered,
+)
 from carawayquay_gateway.peer_messages import (
     AnsweredForPeer,
     FailedForPeer,
@@ -35,9 +41,19 @@
 
 _log = EventLog("peer-calls")
 
-#: Number of VMs that are asked for one request, each of which may refuse it at once.
+#: Number of VMs that may refuse one request, each at once, before no other is asked.
 _MAX_PEERS = 6
 
+#: Refusals that say nothing about the other VM, which is then used for other requests.
+_ABOUT_REQUEST = frozenset(
+    {
+        RefusalReason.NO_CAPACITY,
+        RefusalReason.CRASHES_TARGETS,
+        RefusalReason.NO_ROUTE,
+        RefusalReason.INVALID,
+    }
+)
+
 #: Time for which a sample of the live VMs is used.
 _SAMPLE_LIFETIME = timedelta(milliseconds=200)
 
@@ -64,20 +80,23 @@
         )
         state.metrics.gauge("requests_at_peers", lambda: float(self._peers.in_flight))
 
-    async def run(self, exchange: Exchange) -> AttemptEnd | NoCapacity | None:
+    async def run(
+        self, exchange: Exchange
+    ) -> AttemptEnd | NoCapacity | RequestCrashesTargets | None:
         """Send a request through another VM, and return None if no VM takes it."""
-        asked: set[VMIdentity] = set()
-        for _ in range(_MAX_PEERS):
+        asked = exchange.refusing_peers
+        while len(asked) < _MAX_PEERS:
             now = self._state.clock.now()
             vm = self._choose(exchange, asked, now)
             if vm is None or exchange.remaining(now) <= 0:
                 return None
-            asked.add(vm)
             match await self._call(vm, exchange):
                 case RefusedForPeer(RefusalReason.NO_CAPACITY, wait):
                     return NoCapacity(wait)
+                case RefusedForPeer(RefusalReason.CRASHES_TARGETS):
+                    return RequestCrashesTargets()
                 case RefusedForPeer():
-                    continue
+                    asked.add(vm)
                 case AttemptEnd() as end:
                     return end
         return None
@@ -164,7 +183,7 @@
                 self._note(vm, exchange, unanswered.outcome)
                 return AttemptEnd(attempt, unanswered)
             case RefusedForPeer(reason):
-                if reason is not RefusalReason.NO_CAPACITY:
+                if reason not in _ABOUT_REQUEST:
                     cut_off = reason is RefusalReason.CUT_OFF
                     self._peers.failed(vm, self._state.clock.now(), cut_off=cut_off)
                 self._note(vm, exchange, reason.value)
--- a/packages/gateway/src/carawayquay_gateway/peer_messages.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_messages.py
@@ -43,10 +43,7 @@
 
 
 class RefusalReason(enum.Enum):
-    """Why a VM did not send another VM's request to any target.
-
-    ``NO_CAPACITY`` is the only one that another VM would answer alike.
-    """
+    """Why a VM did not send another VM's request to any target."""
 
     CUT_OFF = "cut-off"
     BEHIND = "behind"
@@ -55,6 +52,7 @@
     CRASHES_TARGETS = "crashes-targets"
     NO_CAPACITY = "no-capacity"
     UNREACHABLE = "unreachable"
+    BUSY = "busy"
     INVALID = "invalid"
 
 
--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -37,6 +37,9 @@
 #: Number of targets that are tried for one request while no connection to them can be opened.
 _MAX_UNREACHABLE = 3
 
+#: Status with which the server rejects connections above the limit.
+_TOO_MANY_CONNECTIONS_STATUS = 503
+
 #: Part of the remaining time that is reserved for returning the answer to the other VM.
 _ANSWER_MARGIN = timedelta(milliseconds=10)
 
@@ -80,9 +83,10 @@
         self._note(request, answer)
         return encode_answer(answer)
 
-    def reject(self, _status: int, _reason: str) -> HttpResponse:
+    def reject(self, status: int, _reason: str) -> HttpResponse:
         """Return the answer to a message that violates HTTP or a limit, and is not handled."""
-        return encode_answer(RefusedForPeer(RefusalReason.INVALID))
+        busy = status == _TOO_MANY_CONNECTIONS_STATUS
+        return encode_answer(RefusedForPeer(RefusalReason.BUSY if busy else RefusalReason.INVALID))
 
     async def _serve(self, request: PeerRequest) -> PeerAnswer:
         now = self._state.clock.now()
