Let a helping VM with a newer configuration decide by it where a route was moved

Callers of a cut-off VM got 503 for a route whose service had changed until that VM had the new version: a helping VM refused a service that is no longer of the route. It now chooses among the route's services.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -129,7 +129,7 @@
         attempts = TargetAttempts(self._state, selection, self._target_caller, crashes, warm)
         self._peer_caller = PeerCaller(self._state, memory, generator)
         self._forwarder = Forwarder(self._state, attempts, self._peer_caller, crashes, generator)
-        self._peer_requests = PeerRequestApi(self._state, attempts, crashes)
+        self._peer_requests = PeerRequestApi(self._state, attempts, crashes, generator)
         self._connections = int(settings.descriptors * _CALLERS_SHARE)
         limits = HttpLimits(connections=self._connections)
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_SHARE))
--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -11,6 +11,7 @@
 from carawayquay.errors import FrameError
 from carawayquay.placement import NoCapacity
 from carawayquay.routes import Route
+from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.exchanges import Answered, Exchange, Unanswered
 from carawayquay_gateway.peer_messages import (
     AnsweredForPeer,
@@ -23,6 +24,8 @@
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
+    from random import Random
+
     from carawayquay.crash_counts import CrashCounts
     from carawayquay_gateway.exchanges import AttemptEnd
     from carawayquay_gateway.peer_messages import PeerAnswer, PeerRequest
@@ -51,8 +54,11 @@
     counts the request, decides on retries and charges them.
     """
 
-    def __init__(self, state: GatewayState, attempts: TargetAttempts, crashes: CrashCounts) -> None:
+    def __init__(
+        self, state: GatewayState, attempts: TargetAttempts, crashes: CrashCounts, random: Random
+    ) -> None:
         self._state = state
+        self._random = random
         self._attempts = attempts
         self._crashes = crashes
         self._active = 0
@@ -113,8 +119,10 @@
         route = configuration.find(request.call.host, request.call.path)
         if not isinstance(route, Route):
             return RefusalReason.NO_ROUTE
-        if request.service not in {weighted.service for weighted in route.services}:
-            return RefusalReason.NO_ROUTE
+        service = request.service
+        if service not in {weighted.service for weighted in route.services}:
+            # The route was moved since the sender's version.
+            service = WeightedChoice(route.services, self._random.random()).next()
         deadline = now + min(request.remaining, route.timeout) - _ANSWER_MARGIN
         if deadline <= now:
             return RefusalReason.NO_CAPACITY
@@ -126,7 +134,7 @@
         return Exchange(
             request.call,
             route,
-            request.service,
+            service,
             configuration.version,
             now - request.elapsed,
             deadline,
