--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -4,6 +4,7 @@
 
 from contextlib import suppress
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 import curio
@@ -164,7 +165,8 @@
         now = self._state.clock.now()
         self._state.stats(target.name).failed(now)
         if not unanswered.sent:
-            await curio.spawn(self._check_unreachable, target, now, daemon=True)
+            check = partial(self._check_unreachable, target, now, timed_out=unanswered.timed_out)
+            await curio.spawn(check, daemon=True)
         elif not unanswered.timed_out:
             await self._http.drop_idle(target.address)
             await curio.spawn(self._check_crash, target, fingerprint, now, daemon=True)
@@ -176,18 +178,36 @@
         if spec is not None:
             self._state.targets.mark_cold(target.name, spec.cold_start, now)
 
-    async def _check_unreachable(self, target: RegisteredTarget, failed_at: timedelta) -> None:
-        """Mark an unreachable target as cold, unless this VM is cut off from all targets."""
-        if await self._prober.reaches_targets(failed_at):
+    async def _check_unreachable(
+        self, target: RegisteredTarget, failed_at: timedelta, *, timed_out: bool
+    ) -> None:
+        """Mark a target as cold that stays unreachable while this VM reaches another one.
+
+        A connection that was refused, and did not time out, needs no second try.
+        """
+        if timed_out:
+            lost = await self._is_lost(target, failed_at)
+        else:
+            lost = await self._prober.reaches_targets(failed_at)
+        if lost:
             self._mark_cold(target, self._state.clock.now())
 
+    async def _is_lost(self, target: RegisteredTarget, failed_at: timedelta) -> bool:
+        """Return whether a target accepts no connection once this VM has reached another one.
+
+        A short cut may have ended since the failure.
+        """
+        if not await self._prober.reaches_targets(failed_at):
+            return False
+        return not await self._accepts_connections(target.address)
+
     async def _check_crash(
         self, target: RegisteredTarget, fingerprint: int, failed_at: timedelta
     ) -> None:
         """Count a crash and eject the target if it alone accepts no new connection."""
         if await self._accepts_connections(target.address):
             return
-        if not await self._prober.reaches_targets(failed_at):
+        if not await self._is_lost(target, failed_at):
             return
         now = self._state.clock.now()
         count = self._crashes.record_crash(fingerprint, now)
--- a/packages/gateway/tests/test_cut_off_conclusions.py
+++ b/packages/gateway/tests/test_cut_off_conclusions.py
@@ -7,7 +7,9 @@
 import curio
 import pytest
 from curio.io import Socket
+from cut_off_fleet import CutOffFleet
 from gateway_builders import configuration, new_forwarder, request, route, run, target
+from gateway_site import free_ports
 
 from carawayquay.crash_counts import request_fingerprint
 from carawayquay_platform import headers
@@ -59,3 +61,27 @@
         assert not any(state.targets.cold(name, now) for name, _ in named)
 
     run(go)
+
+
+@pytest.mark.parametrize("seconds", [0.05, 0.2, 0.35])
+def test_cut_that_ends_before_it_is_noticed_marks_no_target_cold_and_counts_no_crash(seconds):
+    async def check():
+        port = free_ports("127.9.60.1", 1)[0]
+        fleet = CutOffFleet(["puget-a"], port=port, network="127.9.60", work_seconds=0.3)
+        await fleet.start()
+        [vm] = fleet.vms
+        sent = [request(path=f"/reports/{n}", request_id=f"a{n}") for n in range(8)]
+        tasks = [await curio.spawn(vm.forwarder.handle, each) for each in sent]
+        await curio.sleep(_WORK_SECONDS)
+        await vm.network.cut("reset")
+        await curio.sleep(seconds)
+        vm.network.heal()
+        for task in tasks:
+            await task.join()
+        await curio.sleep(_JUDGE_SECONDS)
+        now = vm.state.clock.now()
+        prints = [request_fingerprint(headers.parse_request(each)) for each in sent]
+        assert not any(vm.crashes.is_suspect(each, now) for each in prints)
+        assert not any(vm.state.targets.cold(stub.name, now) for stub in fleet.targets)
+
+    run(check)
