Use targets again that were ejected while the VM itself was cut off

Callers of a VM that is cut off again and again for less than a second were refused with no-target between the cuts: its own failures had ejected every target for a second. Ejections end when the VM finds out that it is cut off, and when it reaches targets again.

--- a/packages/core/src/carawayquay/target_stats.py
+++ b/packages/core/src/carawayquay/target_stats.py
@@ -157,12 +157,16 @@
         if self.failures_in_row >= _EJECT_AFTER:
             self.ejected_until = now + _EJECT_FOR
 
+    def end_ejection(self) -> None:
+        """Use the target again, and forget the failures that ejected it."""
+        self.failures_in_row = 0
+        self.ejected_until = timedelta()
+
     def restarted(self) -> None:
         """Reset the statistics after a restart of the target."""
         self.slowness = 1.0
         self.failure_rate = 0.0
-        self.failures_in_row = 0
-        self.ejected_until = timedelta()
+        self.end_ejection()
 
 
 def _ewma(old: float | None, new: float, weight: float) -> float:
--- a/packages/gateway/src/carawayquay_gateway/reach_prober.py
+++ b/packages/gateway/src/carawayquay_gateway/reach_prober.py
@@ -98,6 +98,7 @@
             change = self._state.reach.record_probe(reached=reached, now=self._state.clock.now())
         self._state.metrics.count("reach_probes_total", cause=cause.value)
         if change is not None:
+            self._state.end_ejections()
             self._log(change, targets)
 
     def _candidates(self) -> list[RegisteredTarget]:
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -211,6 +211,11 @@
             found = self._stats[target] = TargetStats()
         return found
 
+    def end_ejections(self) -> None:
+        """Use the targets again that were ejected, since their failures were this VM's own."""
+        for stats in self._stats.values():
+            stats.end_ejection()
+
     def running(self, target: str) -> int:
         """Return the estimated requests in flight at a target from all VMs."""
         return self._in_flight_at(target, self.clock.now())
