Apply changed idle limits to connections that are idle already

Callers would see connections that had been idle under a lower limit closed after it was raised, within the time for which they may reuse them: requests that cross the close, failed attempts.

Evidence: found in review; both cases of test_changed_idle_limit_holds_for_connections_that_are_idle_already failed before. The time since which a connection is idle is kept, and compared with the limit in force.

--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -81,8 +81,10 @@
         self._limits = limits or HttpLimits()
         self._close_after_response = False
         self._draining = False
-        self._idle: set[Any] = set()
-        self._deadlines: dict[Any, float] = {}
+        #: The connections that wait for a request, with the time since when.
+        self._idle: dict[Any, float] = {}
+        #: The connections to which a response is being sent, with the time by when.
+        self._send_deadlines: dict[Any, float] = {}
         self._sweeping = False
         self._open_count = 0
         self._refused_count = 0
@@ -100,8 +102,7 @@
     def set_limits(self, limits: HttpLimits) -> None:
         """Replace the limits, also those of open connections.
 
-        Two exceptions: the parser of an open connection keeps its header size limit, and
-        :meth:`_sweep` keeps its interval.
+        One exception: the parser of an open connection keeps its header size limit.
         """
         self._limits = limits
 
@@ -133,23 +134,24 @@
             pass
         finally:
             self._open_count -= 1
-            self._idle.discard(sock)
-            self._deadlines.pop(sock, None)
+            self._idle.pop(sock, None)
+            self._send_deadlines.pop(sock, None)
 
     async def _sweep(self) -> None:
-        """Shut down the sockets whose deadline has passed, which ends pending reads and writes.
+        """Shut down the sockets whose time is over, which ends pending reads and writes.
 
         A curio timeout around each read and write would cost more than handling a small request.
         """
-        interval = min(self._limits.idle_seconds, self._limits.write_seconds) / _SWEEPS_PER_TIMEOUT
         while True:
-            await curio.sleep(interval)
+            limits = self._limits
+            await curio.sleep(min(limits.idle_seconds, limits.write_seconds) / _SWEEPS_PER_TIMEOUT)
             now = time.monotonic()
-            for sock in [sock for sock, deadline in self._deadlines.items() if deadline <= now]:
-                if sock in self._idle:
-                    await self._close_idle(sock, ConnectionEnd.IDLE)
-                else:
-                    await _shut_down(sock)
+            idle_since = now - self._limits.idle_seconds
+            for sock in [sock for sock, since in self._idle.items() if since <= idle_since]:
+                await self._close_idle(sock, ConnectionEnd.IDLE)
+            late = [sock for sock, deadline in self._send_deadlines.items() if deadline <= now]
+            for sock in late:
+                await _shut_down(sock)
 
     async def _close_idle(self, sock: Any, cause: ConnectionEnd) -> None:
         """Shut down an idle connection, unless an unread request is in its receive buffer.
@@ -158,7 +160,7 @@
         """
         if sock not in self._idle or is_readable(sock):
             return
-        self._idle.discard(sock)
+        del self._idle[sock]
         self._note_end(cause)
         await _shut_down(sock)
 
@@ -255,12 +257,10 @@
         """Wait for the first bytes of a request and return whether any arrived."""
         if self._draining and not is_readable(sock):
             return False
-        self._idle.add(sock)
-        self._deadlines[sock] = time.monotonic() + self._limits.idle_seconds
+        self._idle[sock] = time.monotonic()
         data = await sock.recv(_READ_BYTES)
         closed_here = sock not in self._idle
-        self._idle.discard(sock)
-        self._deadlines.pop(sock, None)
+        self._idle.pop(sock, None)
         if closed_here and data:
             self._note_end(ConnectionEnd.CROSSED)
         if closed_here or not data:
@@ -316,13 +316,13 @@
 
     async def _send(self, sock: Any, data: bytes) -> bool:
         """Send bytes and return whether that succeeded within the write timeout."""
-        self._deadlines[sock] = time.monotonic() + self._limits.write_seconds
+        self._send_deadlines[sock] = time.monotonic() + self._limits.write_seconds
         try:
             await sock.sendall(data)
         except OSError:
             return False
         finally:
-            self._deadlines.pop(sock, None)
+            self._send_deadlines.pop(sock, None)
         return True
 
 
--- a/packages/wire/tests/test_http_server.py
+++ b/packages/wire/tests/test_http_server.py
@@ -241,3 +241,19 @@
             await curio.timeout_after(1, serving.join)
 
     curio.run(go)
+
+
+@pytest.mark.parametrize(("before", "after", "closes"), [(0.2, 5.0, False), (5.0, 0.2, True)])
+def test_changed_idle_limit_holds_for_connections_that_are_idle_already(before, after, closes):
+    async def go():
+        _client_end, server_end = (curio.io.Socket(sock) for sock in socket.socketpair())
+        server = HttpServer(echo, reject, attrs.evolve(LIMITS, idle_seconds=before))
+        async with server_end:
+            serving = await curio.spawn(server.serve, server_end, ("192.0.2.1", 1))
+            await curio.sleep(0.05)
+            server.set_limits(attrs.evolve(LIMITS, idle_seconds=after))
+            await curio.sleep(0.6)
+            assert serving.terminated is closes
+            await serving.cancel()
+
+    curio.run(go)
