Share one probe among the calls that ask at the same time whether targets are reached

Callers of a VM that was cut off waited for their deadline: each failed call asked for a probe of its own, up to 0.6 s, and the task that gives up calls and leaves other VMs stood in the same queue.

Three of four cases of test_reach_prober.py failed before: calls that ask together, twice, and a cut that ends where a single target is ready. A probe that ends while others wait answers them; what follows a change is noted with the change.

--- a/packages/gateway/src/carawayquay_gateway/reach_prober.py
+++ b/packages/gateway/src/carawayquay_gateway/reach_prober.py
@@ -34,7 +34,7 @@
 _FIRST_TARGETS = 1
 _ALL_TARGETS = 4
 
-#: Number of targets without which nothing can be concluded from a probe.
+#: Number of targets without which nothing can be concluded from a probe that reaches none.
 _MIN_TARGETS = 2
 
 
@@ -46,6 +46,9 @@
         self._random = random
         self._dial = dialer
         self._probing = curio.Lock()
+        self._probed_at = state.clock.now()
+        self._calls_abandoned = False
+        self._peers_in_use = False
 
     async def run(
         self,
@@ -58,7 +61,6 @@
         :param leave_peers: called when targets are reached again
         """
         reach = self._state.reach
-        abandoned = was_cut_off = False
         while True:
             now = self._state.clock.now()
             reach.note_waiting(len(self._state.own_in_flight()), now)
@@ -66,13 +68,12 @@
             if cause is not None:
                 await self._probe(cause)
             answering = reach.answering(self._state.clock.now())
-            if reach.cut_off and not answering and not abandoned:
+            if reach.cut_off and not answering and not self._calls_abandoned:
+                self._calls_abandoned = True
                 await abandon_calls()
-                abandoned = True
-            if was_cut_off and not reach.cut_off:
+            if self._peers_in_use and not reach.cut_off:
+                self._peers_in_use = False
                 await leave_peers()
-                abandoned = False
-            was_cut_off = reach.cut_off
             await self._state.ticker.next()
 
     async def reaches_targets(self, since: timedelta) -> bool:
@@ -88,16 +89,25 @@
         return not self._state.reach.cut_off
 
     async def _probe(self, cause: ProbeCause) -> None:
+        """Probe targets, unless a probe that ends meanwhile tells the same."""
+        asked_at = self._state.clock.now()
         async with self._probing:
-            targets = self._candidates()
-            if len(targets) < _MIN_TARGETS:
-                return
-            reached = await self._any_accepts(targets[:_FIRST_TARGETS])
-            if not reached:
-                reached = await self._any_accepts(targets[_FIRST_TARGETS:])
-            change = self._state.reach.record_probe(reached=reached, now=self._state.clock.now())
+            if self._probed_at <= asked_at:
+                await self._probe_now(cause)
+
+    async def _probe_now(self, cause: ProbeCause) -> None:
+        targets = self._candidates()
+        if len(targets) < _MIN_TARGETS and not self._state.reach.cut_off:
+            return
+        reached = await self._any_accepts(targets[:_FIRST_TARGETS])
+        if not reached:
+            reached = await self._any_accepts(targets[_FIRST_TARGETS:])
+        now = self._probed_at = self._state.clock.now()
         self._state.metrics.count("reach_probes_total", cause=cause.value)
+        change = self._state.reach.record_probe(reached=reached, now=now)
         if change is not None:
+            self._calls_abandoned = False
+            self._peers_in_use = True
             self._state.end_ejections()
             self._log(change, targets)
 
