--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -100,6 +100,8 @@
         if isinstance(prepared, RefusalReason):
             return RefusedForPeer(prepared)
         for _ in range(_MAX_UNREACHABLE):
+            if self._state.reach.cut_off:
+                return RefusedForPeer(RefusalReason.CUT_OFF)
             end = await self._attempts.run(prepared)
             if isinstance(end, NoCapacity):
                 return RefusedForPeer(RefusalReason.NO_CAPACITY, _wait(end))
