Go on using a VM whose answer came too late for one request

Callers of a VM that was cut off got 503 for a second after a few slow requests: a request whose time was over before the other VM had answered took that VM out of use, and the way back may be longer than the time that is reserved for the answer.

Such a VM comes after others for a second now, but is used (test_vm_whose_answer_came_too_late_is_used_after_others_but_used).

--- a/packages/core/src/carawayquay/forwarding_peers.py
+++ b/packages/core/src/carawayquay/forwarding_peers.py
@@ -142,6 +142,13 @@
         doubted_until = unusable_until + _DOUBTED_FOR if cut_off else unusable_until
         self._remember(vm, _Experience(vm.incarnation, unusable_until, doubted_until, now), now)
 
+    def timed_out(self, vm: VMIdentity, now: timedelta) -> None:
+        """Record that a request's time was over before a VM answered, so that others come first.
+
+        The VM may be sound and the request's target slow.
+        """
+        self._remember(vm, _Experience(vm.incarnation, now, now + _UNUSABLE_FOR, now), now)
+
     def helped(self, vm: VMIdentity, now: timedelta) -> None:
         """Record that a VM got a target's answer."""
         self._remember(vm, _Experience(vm.incarnation, now, now, now + _PROVEN_FOR), now)
--- a/packages/core/tests/test_forwarding_peers.py
+++ b/packages/core/tests/test_forwarding_peers.py
@@ -108,3 +108,10 @@
     assert len(sample) == 16 + len(BESIDE) + len(FAR)
     assert len(set(sample)) == len(sample)
     assert many[70] in sample
+
+
+def test_vm_whose_answer_came_too_late_is_used_after_others_but_used():
+    peers = _peers()
+    peers.timed_out(NEAR[0], NOW)
+    assert {peers.choose(NEAR, (), (), NOW) for _ in range(20)} == {NEAR[1]}
+    assert peers.choose(NEAR[:1], (), (), NOW) == NEAR[0]
--- a/packages/gateway/src/carawayquay_gateway/peer_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_calls.py
@@ -154,9 +154,12 @@
     ) -> AttemptEnd | RefusedForPeer:
         """Return the result of a call that another VM did not answer."""
         now = self._state.clock.now()
-        self._peers.failed(vm, now)
         sent = not isinstance(failure, HttpError) or failure.sent
         timed_out = isinstance(failure, HttpError) and failure.timed_out
+        if sent and timed_out:
+            self._peers.timed_out(vm, now)
+        else:
+            self._peers.failed(vm, now)
         unanswered = Unanswered(sent, timed_out)
         self._note(vm, exchange, unanswered.outcome)
         if not sent:
