Close connections between VMs that are too old for reuse

The helping VM closes them after 6 s, the other one after 5 to 10 s (test_connections_that_are_idle_for_too_long_are_closed_on_request).

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -22,7 +22,7 @@
 from carawayquay_gateway.configuration_sync import ConfigurationSync
 from carawayquay_gateway.forwarder import Forwarder
 from carawayquay_gateway.lookups import LookupApi
-from carawayquay_gateway.peer_calls import PeerCaller
+from carawayquay_gateway.peer_calls import MAX_PEER_IDLE, PeerCaller
 from carawayquay_gateway.peer_requests import PeerRequestApi
 from carawayquay_gateway.peers import PeerExchange
 from carawayquay_gateway.reach_prober import ReachProber
@@ -72,6 +72,9 @@
 #: Number of headers that another VM adds to a request: one with its decisions, and content-length.
 _PEER_HEADERS = 2
 
+#: Time beyond that for which other VMs reuse an idle connection, after which it is closed.
+_PEER_IDLE_MARGIN_SECONDS = 1.0
+
 #: Maximum size of the header with another VM's decisions on a request, in bytes.
 _PEER_HEADER_BYTES = 16 * 1024
 
@@ -185,6 +188,7 @@
             await group.spawn(
                 self._prober.run, self._target_caller.abandon_calls, self._peer_caller.close
             )
+            await group.spawn(self._peer_caller.close_unused)
             await group.spawn(self._flush_output)
             await group.spawn(SettingsReloader(self._state, self._file).run, reload_signal)
             _log.info(Event.STARTED, vm=self._settings.name, callers=self._settings.callers)
@@ -269,6 +273,7 @@
         headers=callers.headers + _PEER_HEADERS,
         body_bytes=callers.body_bytes,
         body_seconds=_BODY_SECONDS,
+        idle_seconds=MAX_PEER_IDLE.total_seconds() + _PEER_IDLE_MARGIN_SECONDS,
         connections=int(settings.descriptors * _PEERS_SHARE),
     )
 
--- a/packages/gateway/src/carawayquay_gateway/peer_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_calls.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import curio
+
 from carawayquay.errors import FrameError
 from carawayquay.forwarding_peers import ForwardingPeers
 from carawayquay.membership import Address
@@ -37,7 +39,7 @@
     from carawayquay_gateway.peer_messages import PeerAnswer
     from carawayquay_gateway.state import GatewayState
 
-__all__ = ["PeerCaller"]
+__all__ = ["MAX_PEER_IDLE", "PeerCaller"]
 
 _log = EventLog("peer-calls")
 
@@ -61,7 +63,7 @@
 _CONNECT_SECONDS = 0.15
 
 #: Idle time after which a connection to another VM is not reused; shorter than its idle timeout.
-_MAX_IDLE = timedelta(seconds=5)
+MAX_PEER_IDLE = timedelta(seconds=5)
 
 
 class PeerCaller:
@@ -115,6 +117,12 @@
             return chosen
         return self._peers.choose(self._state.peers.forwarding_vms(now), regions, asked, now)
 
+    async def close_unused(self) -> None:
+        """Close connections to other VMs that are too old for reuse, from time to time."""
+        while True:
+            await curio.sleep(MAX_PEER_IDLE.total_seconds())
+            await self._http.close_idle(MAX_PEER_IDLE)
+
     async def close(self) -> None:
         """Close the idle connections to other VMs, which are needed only while cut off."""
         await self._http.close()
@@ -128,7 +136,7 @@
                 Address(vm.host, self._state.settings.peer_requests.port),
                 encode_request(self._request(exchange, started)),
                 exchange.remaining(started),
-                max_idle=_MAX_IDLE,
+                max_idle=MAX_PEER_IDLE,
             )
             answer = decode_answer(response)
         except (HttpError, FrameError) as failure:
--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -352,6 +352,17 @@
                 await connection.close()
         self._idle.clear()
 
+    async def close_idle(self, max_idle: timedelta) -> None:
+        """Close the connections that have been idle for longer than a time."""
+        idle_since = self._clock.now() - max_idle
+        for address, connections in list(self._idle.items()):
+            old = [it for it in connections if it.idle_since <= idle_since]
+            self._idle[address] = [it for it in connections if it.idle_since > idle_since]
+            if not self._idle[address]:
+                del self._idle[address]
+            for connection in old:
+                await connection.close()
+
     async def drop_idle(self, address: Address) -> None:
         """Close the idle connections to a server, after a failure that may concern them too."""
         for connection in self._idle.pop(address, ()):
--- a/packages/wire/tests/test_http_client.py
+++ b/packages/wire/tests/test_http_client.py
@@ -133,3 +133,18 @@
 
     failure = run(Server(), steps)
     assert (failure.refused, failure.sent) == (True, False)
+
+
+def test_connections_that_are_idle_for_too_long_are_closed_on_request():
+    clock = ManualClock()
+
+    async def steps(client, address):
+        await client.exchange(address, REQUEST, 1.0)
+        clock.advance(timedelta(seconds=4))
+        await client.close_idle(timedelta(seconds=5))
+        kept = len(client._idle[address])
+        clock.advance(timedelta(seconds=1))
+        await client.close_idle(timedelta(seconds=5))
+        return kept, client._idle
+
+    assert run(Server(), steps, clock) == (1, {})
