--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -11,6 +11,7 @@
 import json
 import os
 import re
+import resource
 import secrets
 import shutil
 import signal
@@ -43,6 +44,8 @@
     def write(self, what: str, **fields: object) -> None:
         pairs = " ".join(f"{key}={value}" for key, value in fields.items())
         self._file.write(f"{self.now():8.3f} {what} {pairs}\n")
+
+    def flush(self) -> None:
         self._file.flush()
 
 
@@ -311,10 +314,17 @@
         self.born = int(time.time() * 1000)
         self._answer = answer
         self._sequence = 0
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> str:
-        server = await asyncio.start_server(self._serve, host, 0)
-        return "%s:%d" % server.sockets[0].getsockname()[:2]
+        self._server = await asyncio.start_server(self._serve, host, 0, backlog=512)
+        return "%s:%d" % self._server.sockets[0].getsockname()[:2]
+
+    async def exit(self) -> None:
+        """End: stop listening, and close all connections."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.close()
 
     def entry(self, address: str, state: str = "ready") -> dict:
         self._sequence += 1
@@ -334,6 +344,7 @@
         return f"{self.name}.{request_id}"
 
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         with suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while (head := await read_head(reader)) is not None:
                 first_line, headers = head
@@ -350,6 +361,7 @@
                 self.record.write("arrives", instance=self.name, id=request_id)
                 if not await self._answer(self, writer, headers, first_line, body):
                     break
+        self._writers.discard(writer)
         with suppress(ConnectionError):
             writer.close()
 
@@ -422,7 +434,11 @@
         role = _role()
         self._settings.write_text(render((ROOT / role["template"]).read_text(), fields))
 
-    def start(self) -> None:
+    def start(self, descriptors: int | None = None) -> None:
+        """Start the process, as the platform does.
+
+        :param descriptors: the limit of open descriptors that the platform sets, if it is at stake
+        """
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment = kept | {
             "CARAWAYQUAY_NODE_FILE": str(self._settings),
@@ -432,6 +448,9 @@
             self.process = subprocess.Popen(
                 _role()["run"].split(), cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        if descriptors is not None:
+            limits = (descriptors, descriptors)
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, limits)
 
     def signal(self, number: int) -> None:
         self.process.send_signal(number)
@@ -479,6 +498,40 @@
 # --- Clients ----------------------------------------------------------------------------------
 
 
+class KeptConnection:
+    """A connection that a client keeps open for many requests, one after the other."""
+
+    def __init__(self, record: Record, address: str) -> None:
+        self._record = record
+        self._to = address.rsplit(":", 1)
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    async def request(self, host: str, path: str, deadline_ms: int = 4000) -> Answer:
+        answer = Answer(secrets.token_hex(8))
+        headers = {"Host": host, "Request-Id": answer.request_id, "Deadline-Ms": deadline_ms}
+        self._record.write("sent", id=answer.request_id, kept=1)
+        try:
+            async with asyncio.timeout(deadline_ms / 1000):
+                if self._streams is None:
+                    self._streams = await asyncio.open_connection(self._to[0], int(self._to[1]))
+                reader, writer = self._streams
+                writer.write(message(f"GET {path} HTTP/1.1", headers))
+                await _read_answer(reader, answer)
+        except TimeoutError:
+            answer.gave_up = True
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        if not answer.whole or answer.headers.get("connection") == "close":
+            self.close()
+        self._record.write("answered", id=answer.request_id, status=answer.status, kept=1)
+        return answer
+
+    def close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].close()
+            self._streams = None
+
+
 class Answer:
     """What a client saw of one attempt.
 
@@ -568,7 +621,7 @@
     result = COULD_NOT_RUN
     try:
         result = asyncio.run(asyncio.wait_for(play(record, work, trouble, gateways), 110))
-    except (CouldNotRun, OSError, TimeoutError) as error:
+    except Exception as error:
         record.write("could-not-run", reason=repr(error))
         print(f"could not run: {error!r}")
     finally:
@@ -578,6 +631,7 @@
             shutil.copytree(work, keep, dirs_exist_ok=True)
         shutil.rmtree(work, ignore_errors=True)
     record.write("result", exit=result, trouble=int(trouble))
+    record.flush()
     print({HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "could not run"}[result], flush=True)
     # Connections that are silent on purpose are still open; there is nothing left to close in order.
     os._exit(result)
