--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -90,8 +90,11 @@
 class Store:
     """The platform's object API: lists, long-poll watches and conditional writes, in memory."""
 
-    def __init__(self, record: Record) -> None:
+    def __init__(self, record: Record, page_items: int = 500) -> None:
         self._record = record
+        self._page_items = page_items
+        #: Called with the kind and whether it is the first page, after a page was answered.
+        self.on_page = None
         self._revision = 1
         self._kinds: dict[str, dict[str, dict]] = {}
         self._events: list[tuple[int, str, dict]] = []
@@ -144,6 +147,8 @@
                 headers = {"Content-Type": "application/json", "Content-Length": len(data)}
                 writer.write(message(f"HTTP/1.1 {status} X", headers, data))
                 await writer.drain()
+                if self.on_page is not None and "items" in value:
+                    await self.on_page(target, value["has_more"])
         writer.close()
 
     async def _answer(self, method: str, target: str, body: bytes) -> tuple[int, object]:
@@ -156,8 +161,8 @@
             if "watch" in query:
                 return await self._watch(kind, int(query["watch"]), int(query["wait_ms"]) / 1000)
             names = sorted(name for name in objects if name > query.get("after", ""))
-            items = [objects[name] for name in names[:500]]
-            more = len(names) > 500
+            items = [objects[name] for name in names[: self._page_items]]
+            more = len(names) > self._page_items
             return 200, {"items": items, "has_more": more, "current_rev": self._revision}
         if method == "POST":
             value = json.loads(body)
@@ -217,9 +222,11 @@
     A silent connection passes nothing on and acknowledges nothing, in both directions.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, delay: float = 0.0) -> None:
+        """Take the server's address, and the time that bytes take in each direction."""
         host, port = target.rsplit(":", 1)
         self._target = (host, int(port))
+        self._delay = delay
         self._pairs: set[_Pair] = set()
         self._listener: socket.socket | None = None
 
@@ -234,6 +241,14 @@
             pair.silence()
         return len(self._pairs)
 
+    def reset_connection(self, sent: bytes) -> bool:
+        """Reset the connection whose last request contains some bytes; return whether there is one."""
+        for pair in self._pairs:
+            if sent in pair.last_sent:
+                pair.reset()
+                return True
+        return False
+
     def cut(self) -> None:
         """Cut the link: open connections fall silent, and new ones hang."""
         drop_packets(self._listener)
@@ -252,7 +267,7 @@
         except OSError:
             writer.transport.abort()
             return
-        pair = _Pair(reader, writer, *onward)
+        pair = _Pair(reader, writer, *onward, self._delay)
         self._pairs.add(pair)
         try:
             await pair.run()
@@ -263,7 +278,9 @@
 class _Pair:
     """One connection through a link, and the one behind it."""
 
-    def __init__(self, reader, writer, onward_reader, onward_writer) -> None:
+    def __init__(self, reader, writer, onward_reader, onward_writer, delay: float) -> None:
+        self._delay = delay
+        self.last_sent = b""
         self._near = (reader, writer)
         self._far = (onward_reader, onward_writer)
         self._open = asyncio.Event()
@@ -278,6 +295,16 @@
         take_packets(self._near[1].get_extra_info("socket"))
         self._open.set()
 
+    def reset(self) -> None:
+        """Reset the connection on both sides."""
+        for _, writer in (self._near, self._far):
+            linger = struct.pack("ii", 1, 0)
+            with suppress(OSError):
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, linger
+                )
+            writer.transport.abort()
+
     async def run(self) -> None:
         await asyncio.gather(
             self._pass_on(self._near[0], self._far[1]), self._pass_on(self._far[0], self._near[1])
@@ -286,6 +313,10 @@
     async def _pass_on(self, reader, writer) -> None:
         try:
             while data := await reader.read(READ_BYTES):
+                if reader is self._near[0]:
+                    self.last_sent = data
+                if self._delay:
+                    await asyncio.sleep(self._delay)
                 await self._open.wait()
                 writer.write(data)
                 await writer.drain()
