--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -650,6 +650,12 @@
     work = Path(tempfile.mkdtemp(prefix="carawayquay-review-"))
     gateways: list[Gateway] = []
     result = COULD_NOT_RUN
+
+    def stop(*_: object) -> None:
+        raise CouldNotRun("stopped from outside")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         result = asyncio.run(asyncio.wait_for(play(record, work, trouble, gateways), 110))
     except Exception as error:
