--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -571,6 +571,7 @@
 
     :ivar status: the status, 0 if the connection ended before a head
     :ivar whole: whether the answer was complete by its own framing
+    :ivar ended: whether the machine answered, or ended the connection, before the client left
     """
 
     def __init__(self, request_id: str) -> None:
@@ -580,6 +581,7 @@
         self.body = b""
         self.whole = False
         self.gave_up = False
+        self.ended = False
 
 
 async def attempt(
@@ -592,8 +594,12 @@
     body: bytes = b"",
     key: str = "",
     deadline_ms: int = 4000,
+    patience_ms: int | None = None,
 ) -> Answer:
-    """Send one client attempt on a new connection, and read its answer."""
+    """Send one client attempt on a new connection, and read its answer.
+
+    :param patience_ms: how long the client waits, the deadline if None
+    """
     request_id = secrets.token_hex(8)
     answer = Answer(request_id)
     headers = {"Host": host, "Request-Id": request_id, "Deadline-Ms": deadline_ms}
@@ -604,17 +610,18 @@
     record.write("sent", id=request_id, to=address, method=method, path=path)
     to, port = address.rsplit(":", 1)
     try:
-        async with asyncio.timeout(deadline_ms / 1000):
+        async with asyncio.timeout((patience_ms or deadline_ms) / 1000):
             reader, writer = await asyncio.open_connection(to, int(port))
             try:
                 writer.write(message(f"{method} {path} HTTP/1.1", headers, body))
                 await _read_answer(reader, answer)
+                answer.ended = True
             finally:
                 writer.close()
     except TimeoutError:
         answer.gave_up = True
     except (OSError, asyncio.IncompleteReadError):
-        pass
+        answer.ended = True
     record.write(
         "answered",
         id=request_id,
