Move pulls from other VMs out of the watcher

The watcher of a kind held two things: the calls to the store, and the pulls from VMs that are ahead. The pulls are a module of their own now, so that what follows can change the calls alone. No change of behaviour.

--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -9,10 +9,9 @@
 
 from carawayquay.backoff import Backoff
 from carawayquay.errors import HistoryLostError, StoreError, StoreUnreachableError
-from carawayquay.membership import Address
 from carawayquay.store_revision import NO_REVISION
 from carawayquay.store_watch import snapshot_source
-from carawayquay_platform.store import PlatformStoreClient
+from carawayquay_gateway.replica_puller import ReplicaPuller
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
@@ -21,7 +20,8 @@
     from carawayquay.entry_peers import Holder
     from carawayquay_gateway.replicas import Replica
     from carawayquay_gateway.state import GatewayState
-    from carawayquay_platform.object_changes import ObjectChanges, ObjectListing
+    from carawayquay_platform.object_changes import ObjectChanges
+    from carawayquay_platform.store import PlatformStoreClient
 
 __all__ = ["Watcher"]
 
@@ -50,12 +50,6 @@
 #: Time in which the watch should deliver a change after another VM has reported it.
 _LAG_SECONDS = 0.5
 
-_PEER_TIMEOUT = timedelta(milliseconds=500)
-
-#: Time in which the own domain should deliver a change before it is pulled from another domain
-#: whose history of it does not reach back far enough.
-_OTHER_DOMAIN_LAG = timedelta(seconds=0.5)
-
 
 class Watcher:
     """Keeps the replica of one kind of object up to date.
@@ -79,9 +73,8 @@
         self._connected: bool | None = None
         self._must_list = True
         self._handled_pauses = state.pause_count
-        self._kind_index = list(state.replicas).index(replica.kind)
+        self._puller = ReplicaPuller(state, replica)
         self._handled_revision = NO_REVISION
-        self._behind_since: timedelta | None = None
         self._failed_at: timedelta | None = None
         self._last_call_failed = False
 
@@ -102,7 +95,7 @@
             except StoreError as error:
                 self._note_outage(error, called_at)
                 self._record_store_call(error)
-                await self._pull_from_newest()
+                await self._pull_if_behind()
                 await curio.sleep(self._backoff.next().total_seconds())
 
     async def _list_from_neighbour(self) -> None:
@@ -120,7 +113,7 @@
                 _FIRST_VM_LIST_DELAY if neighbour is None else _OTHER_VMS_LIST_DELAY
             ):
                 return
-            if neighbour is not None and await self._pull(neighbour.host, log_failure=False):
+            if neighbour is not None and await self._puller.pull(neighbour.host, log_failure=False):
                 self._must_list = False
                 return
             await curio.sleep(_NEIGHBOUR_POLL_SECONDS)
@@ -129,9 +122,14 @@
         """Pull changes from the VMs that watch the store, and wait for others or the next tick."""
         self._state.store_answered.pop(self._replica.kind, None)
         self._last_call_failed = False
-        await self._pull_from_newest()
+        await self._pull_if_behind()
         await self._state.ticker.next_or(self._state.changes_reported)
 
+    async def _pull_if_behind(self) -> None:
+        """Pull from the VM that is farthest ahead; what it had need not be listed any more."""
+        if await self._puller.pull_from_newest():
+            self._must_list = self._must_list and self._state.must_watch_store()
+
     async def _follow_store(self) -> None:
         """Make one list or watch call to the store and apply its result.
 
@@ -140,7 +138,7 @@
         if self._must_list:
             self._handled_pauses = self._state.pause_count
             listing = await self._store.list(self._replica.kind)
-            if not self._apply_listing(listing):
+            if not self._puller.apply_listing(listing):
                 raise StoreError(
                     f"listing at revision {listing.revision} is older than the replica's revision "
                     f"{self._replica.revision}"
@@ -194,7 +192,7 @@
         """Return once the watch is late for a change that another VM has, or this VM was paused."""
         while self._state.pause_count == self._handled_pauses:
             await self._state.ticker.next()
-            newest = self._newest_at_peers()
+            newest = self._puller.newest_holder()
             if newest is not None and self._watch_missed(newest):
                 await curio.sleep(_LAG_SECONDS)
                 if self._watch_missed(newest):
@@ -206,103 +204,6 @@
         known = self._replica.revision or NO_REVISION
         return newest.revision > max(known, self._handled_revision)
 
-    def _newest_at_peers(self) -> Holder | None:
-        """Return the live VM with the highest revision, on a tie one of the own domain.
-
-        Return None if no VM is ahead.
-        """
-        peers = self._state.peers
-        known = self._replica.revision or NO_REVISION
-        if peers.newest_revision(self._kind_index) <= known:
-            return None
-        holders = peers.holders(self._kind_index, self._state.clock.now())
-        ahead = [holder for holder in holders if holder.revision > known]
-        return max(ahead, key=lambda holder: (holder.revision, holder.same_domain), default=None)
-
-    async def _pull_from_newest(self) -> None:
-        """Pull from the live VM with the highest revision, if any is ahead of this VM."""
-        newest = self._newest_at_peers()
-        if newest is None:
-            self._behind_since = None
-            return
-        if await self._pull(newest.host, may_list=newest.same_domain or self._is_behind_for_long()):
-            self._must_list = self._must_list and self._state.must_watch_store()
-
-    def _is_behind_for_long(self) -> bool:
-        """Return whether the own domain has had time to deliver a change that another one has."""
-        now = self._state.clock.now()
-        if self._behind_since is None:
-            self._behind_since = now
-        return now - self._behind_since >= _OTHER_DOMAIN_LAG
-
-    async def _pull(self, host: str, *, may_list: bool = True, log_failure: bool = True) -> bool:
-        """Pull changes or objects from another VM; return whether it had them.
-
-        :param may_list: whether to pull all objects if the other VM's history does not reach back
-        :param log_failure: whether to log a failure
-        """
-        address = Address(host, self._state.settings.admin.port)
-        peer = PlatformStoreClient(address, _PEER_TIMEOUT)
-        try:
-            await self._pull_from(peer, may_list=may_list)
-        except HistoryLostError:
-            return False
-        except StoreError as error:
-            if log_failure:
-                kind = self._replica.kind.name
-                _log.warning(Event.PULL_FAILED, kind=kind, peer=address, reason=error)
-            return False
-        finally:
-            await peer.close()
-        return True
-
-    async def _pull_from(self, peer: PlatformStoreClient, *, may_list: bool) -> None:
-        """Pull the changes, or all objects if the other VM's history does not reach back.
-
-        :raises HistoryLostError: if its history does not reach back and all may not be pulled
-        :raises StoreError: if the other VM does not answer
-        """
-        kind, revision = self._replica.kind, self._replica.revision
-        if revision is not None:
-            try:
-                changes = await peer.pull(kind, revision)
-            except HistoryLostError:
-                if not may_list:
-                    raise
-            else:
-                self._apply_pulled(changes)
-                return
-        listing = await peer.list(kind)
-        self._state.note_store_era(listing.revision.era)
-        self._apply_listing(listing, from_peer=True)
-
-    def _apply_pulled(self, changes: ObjectChanges) -> None:
-        """Apply the changes from another VM if they are ahead of the replica."""
-        self._state.note_store_era(changes.revision.era)
-        if changes.revision > self._replica.revision:
-            self._replica.apply_changes(changes)
-
-    def _apply_listing(self, listing: ObjectListing, *, from_peer: bool = False) -> bool:
-        """Apply a listing; return False if it is older than the replica."""
-        applied = self._replica.apply_listing(listing, from_peer=from_peer)
-        if applied:
-            _log.info(
-                Event.OBJECT_ADOPTED,
-                kind=self._replica.kind.name,
-                revision=listing.revision,
-                objects=len(listing.objects),
-                source="peer" if from_peer else "store",
-            )
-        else:
-            _log.warning(
-                Event.LISTING_PASSED_OVER,
-                kind=self._replica.kind.name,
-                revision=listing.revision,
-                known=self._replica.revision,
-                source="peer" if from_peer else "store",
-            )
-        return applied
-
     def _note_outage(self, error: StoreError, called_at: timedelta) -> None:
         """Record that the store was away if a failed call shows it.
 
