Tell how old a VM's knowledge of the store is

Logs and metrics could not tell a watch that hangs from a neighbour that is behind: no line said when a VM last heard from the store. No logic changes here.

- `known_ms` in the lines of a request, `waited_ms` in store-lost, knowledge-outdated and knowledge-confirmed, ages in /dump and the metrics.
- The deadlines come with the settings, as a section that takes all bounds of the platform under its own names.

--- a/packages/core/src/carawayquay/freshness.py
+++ b/packages/core/src/carawayquay/freshness.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 
-__all__ = ["FRESHNESS_LIMIT", "UNCONFIRMED_MS", "Freshness"]
+__all__ = ["FRESHNESS_LIMIT", "UNCONFIRMED_MS", "Freshness", "watch_complete_at"]
 
 #: Age of a confirmation from which the objects no longer count as current.
 FRESHNESS_LIMIT = timedelta(seconds=3)
@@ -34,10 +34,16 @@
 
     def age_ms(self, now: timedelta) -> int:
         """Return the age in milliseconds, rounded up, or ``UNCONFIRMED_MS`` if there is none."""
-        age = self.age(now)
-        if age is None:
-            return UNCONFIRMED_MS
-        return min(-(-age // _MILLISECOND), UNCONFIRMED_MS)
+        return _milliseconds(self.age(now))
+
+    def age_ms_of(self, kind: str, now: timedelta) -> int:
+        """Return the age of one kind in milliseconds, or ``UNCONFIRMED_MS`` if there is none."""
+        return _milliseconds(self.age_of(kind, now))
+
+    def age_of(self, kind: str, now: timedelta) -> timedelta | None:
+        """Return the age of the confirmation of one kind, or None if it was never confirmed."""
+        instant = self._confirmed.get(kind)
+        return None if instant is None else now - instant
 
     def current(self, now: timedelta) -> bool:
         """Return whether the age is below ``FRESHNESS_LIMIT``."""
@@ -64,3 +70,26 @@
             return
         for kind in self._confirmed:
             self.confirm(kind, asked_at - age_ms * _MILLISECOND)
+
+
+def watch_complete_at(
+    asked_at: timedelta, answered_at: timedelta, wait: timedelta, *, changed: bool
+) -> timedelta:
+    """Return an instant up to which the answer to a watch is certain to contain every change.
+
+    An answer without changes was made at the end of the wait; any other answer may have been made
+    as soon as the store received the call.
+
+    :param asked_at: when the watch was sent
+    :param wait: how long the store was to wait for a change
+    :param changed: whether the answer has changes
+    """
+    waited = answered_at - asked_at >= wait
+    return asked_at + wait if waited and not changed else asked_at
+
+
+def _milliseconds(age: timedelta | None) -> int:
+    """Return an age in milliseconds, rounded up, or ``UNCONFIRMED_MS`` if there is none."""
+    if age is None:
+        return UNCONFIRMED_MS
+    return min(-(-age // _MILLISECOND), UNCONFIRMED_MS)
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -118,6 +118,8 @@
     :param era: the store's era of the revisions, 0 if the sender's version does not report it
     :param version: version of the configuration in force, 0 if none is or it is not reported
     :param cut_off: whether the VM reaches no target
+    :param confirmed_ms: milliseconds since the store confirmed that the objects of each kind are
+        current, or ``UNCONFIRMED_MS``; empty if the sender's version does not report it
     """
 
     sender: VMIdentity
@@ -135,6 +137,7 @@
     era: int = 0
     version: int = 0
     cut_off: bool = False
+    confirmed_ms: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/packages/daemon/src/carawayquayd/watcher.py
+++ b/packages/daemon/src/carawayquayd/watcher.py
@@ -10,6 +10,7 @@
 
 from carawayquay.backoff import Backoff
 from carawayquay.errors import StoreError
+from carawayquay.freshness import watch_complete_at
 from carawayquay.objects import StoredObject
 from carawayquay_wire.events import Event, EventLog
 
@@ -88,20 +89,17 @@
         if listing.revision < self._state.objects.newest:
             self._counts["stale"] += 1
         else:
-            complete_at = self._complete_at(asked_at, listing, watched=after is not None)
-            self._state.freshness.confirm(kind, complete_at)
+            self._state.freshness.confirm(kind, self._complete_at(asked_at, after, listing))
         self._revisions[kind] = max(after or 0, listing.revision)
 
     def _complete_at(
-        self, asked_at: timedelta, listing: StoreListing, *, watched: bool
+        self, asked_at: timedelta, after: int | None, listing: StoreListing
     ) -> timedelta:
-        """Return an instant up to which a listing is certain to contain every change.
-
-        An empty answer to a watch was made at the end of the wait; any other answer may have been
-        made as soon as the store received the call.
-        """
-        waited = self._state.clock.now() - asked_at >= _WATCH_TIMEOUT
-        return asked_at + _WATCH_TIMEOUT if watched and waited and not listing.objects else asked_at
+        """Return an instant up to which a listing is certain to contain every change."""
+        if after is None:
+            return asked_at
+        answered_at, changed = self._state.clock.now(), bool(listing.objects)
+        return watch_complete_at(asked_at, answered_at, _WATCH_TIMEOUT, changed=changed)
 
     async def _list(self, kind: str) -> StoreListing:
         self._counts["lists"] += 1
--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -50,6 +50,7 @@
             status=answer.status,
             ms=int(seconds * 1000),
             sent=exchange.sent,
+            known_ms=self._state.knowledge.age_ms(),
             **self._attempt_fields(attempt),
             **self._limit_fields(exchange),
         )
@@ -67,6 +68,7 @@
             version=exchange.version,
             outcome=outcome,
             ms=int(exchange.elapsed(self._state.clock.now()) * 1000),
+            known_ms=self._state.knowledge.age_ms(),
             **self._attempt_fields(attempt),
             **self._limit_fields(exchange),
         )
@@ -114,6 +116,7 @@
             status=answer.status,
             reason=reason,
             retry_after=None if retry_delay is None else round(retry_delay, 3),
+            known_ms=self._state.knowledge.age_ms(),
             **fields,
         )
         return headers.refusal_response(kind, answer.status, call.request_id, retry_delay)
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from datetime import timedelta
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -50,6 +51,7 @@
     from carawayquay.membership import Address
     from carawayquay.routes import TrafficLimits
     from carawayquay_gateway.settings import GatewaySettings
+    from carawayquay_platform.objects import ObjectKind
 
 __all__ = ["Gateway", "run"]
 
@@ -169,6 +171,8 @@
         gauge("objects_refused", lambda: float(len(self._state.object_applier.refused)))
         gauge("targets_limited", lambda: float(self._state.target_limits.limited))
         gauge("store_era", lambda: float(self._state.store_era))
+        for kind in self._state.replicas:
+            gauge(f"{kind.name.lower()}_age_seconds", partial(self._knowledge_age, kind))
         gauge("stopping", lambda: float(self._state.stopping))
 
     async def run(self, reload_signal: ReloadSignal) -> None:
@@ -202,6 +206,11 @@
         _log.info(Event.STOPPED, vm=self._settings.name)
         self._output.flush()
 
+    def _knowledge_age(self, kind: ObjectKind) -> float:
+        """Return the age of this VM's knowledge of a kind in seconds, -1 if it has none."""
+        age = self._state.knowledge.age(kind)
+        return -1.0 if age is None else age.total_seconds()
+
     async def _update_state(self) -> None:
         """Update the state each tick, and apply a new configuration's limits to the server."""
         applied = None
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -122,6 +122,7 @@
         was_live = known is not None and known.live(now)
         if not self._state.peers.receive(report, now):
             return
+        self._state.knowledge.confirm_by_report(report, now)
         self._crashes.merge(report.crashes, now)
         self._state.merge_warm_objects(report.warmed)
         self._state.limit_recorder.merge_report(report)
@@ -250,4 +251,5 @@
             era=state.replica_era,
             version=state.configuration_version,
             cut_off=state.reach.cut_off,
+            confirmed_ms=state.knowledge.reported_ages(),
         )
--- a/packages/gateway/src/carawayquay_gateway/replica_puller.py
+++ b/packages/gateway/src/carawayquay_gateway/replica_puller.py
@@ -51,7 +51,7 @@
         return max(ahead, key=lambda holder: (holder.revision, holder.same_domain), default=None)
 
     async def pull_from_newest(self) -> bool:
-        """Pull from the live VM with the highest revision; return whether one was ahead and had it."""
+        """Pull from the live VM with the highest revision; return whether that worked."""
         newest = self.newest_holder()
         if newest is None:
             self._behind_since = None
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from carawayquay.deadlines import Deadlines
 from carawayquay.errors import SettingsError
 from carawayquay.membership import Address
 from carawayquay.settings import (
@@ -14,6 +15,7 @@
     parse_table_leniently,
     read_settings,
 )
+from carawayquay_platform.bounds import parse_deadlines
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -22,6 +24,7 @@
 __all__ = ["GATEWAY_SETTINGS", "GatewaySettings", "load_gateway_settings", "parse_gateway_settings"]
 
 _REGIONS = "regions"
+_DEADLINES = "deadlines"
 
 GATEWAY_SETTINGS = (
     Setting("vm", "name", SettingKind.NAME, "name", "name of this entry VM"),
@@ -105,6 +108,7 @@
 
     :param regions: the region of each failure domain
     :param problems: problems in the settings file that were ignored
+    :param deadlines: how soon changes in the store have to be in force
     """
 
     name: str
@@ -130,6 +134,7 @@
     log_level: str
     regions: dict[str, str]
     problems: tuple[str, ...] = attrs.field(default=(), eq=False)
+    deadlines: Deadlines = attrs.field(factory=Deadlines)
 
     @property
     def reports(self) -> Address:
@@ -165,7 +170,7 @@
     :param current: the settings in force, whose values replace unreadable ones
     :raises SettingsError: with every problem, if a setting that is required has no usable value
     """
-    parsed = parse_table_leniently(text, GATEWAY_SETTINGS, (_REGIONS,), current)
+    parsed = parse_table_leniently(text, GATEWAY_SETTINGS, (_REGIONS, _DEADLINES), current)
     regions = parsed.open_sections.get(_REGIONS, {})
     values, problems = parsed.values, parsed.problems
     if regions.get(values["domain"]) != values["region"]:
@@ -174,4 +179,9 @@
         if current is None:
             raise SettingsError(problems)
         regions = current.regions
-    return GatewaySettings(**values, regions=regions, problems=problems)
+    deadlines, unusable = parse_deadlines(
+        parsed.open_sections.get(_DEADLINES, {}),
+        Deadlines() if current is None else current.deadlines,
+    )
+    problems = (*problems, *(f"[{_DEADLINES}] {problem}" for problem in unusable))
+    return GatewaySettings(**values, regions=regions, deadlines=deadlines, problems=problems)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -22,6 +22,7 @@
 from carawayquay.target_reach import TargetReach
 from carawayquay.target_stats import TargetStats
 from carawayquay.warm_objects import WarmObjects
+from carawayquay_gateway.knowledge import StoreKnowledge
 from carawayquay_gateway.limit_recorder import LimitRecorder
 from carawayquay_gateway.object_applier import ObjectApplier
 from carawayquay_gateway.service_state import ASSUMED_LATENCY, ServiceState
@@ -122,6 +123,7 @@
         self.limit_recorder = LimitRecorder(self)
         self.object_applier = ObjectApplier(self)
         self.replicas = self.object_applier.new_replicas()
+        self.knowledge = StoreKnowledge(self)
 
     @property
     def ready(self) -> bool:
@@ -271,6 +273,7 @@
         self.peers.expire(now)
         self.target_limits.update(self._fleet_view(), now)
         self.object_applier.expire_grace_periods()
+        self.knowledge.log_changes()
         if now >= self._prune_at:
             self._prune_at = now + _PRUNE_INTERVAL
             self._prune_removed_targets()
--- a/packages/gateway/src/carawayquay_gateway/state_dump.py
+++ b/packages/gateway/src/carawayquay_gateway/state_dump.py
@@ -12,6 +12,7 @@
     from carawayquay.discovery import RegisteredTarget
     from carawayquay_gateway.service_state import ServiceState
     from carawayquay_gateway.state import GatewayState
+    from carawayquay_platform.objects import ObjectKind
 
 __all__ = ["dump_state"]
 
@@ -32,6 +33,7 @@
             for kind, replica in state.replicas.items()
         },
         **_dump_eras(state),
+        "knowledge": {kind.name: _dump_knowledge(state, kind) for kind in state.replicas},
         "evacuated": sorted(state.evacuated),
         "peers": {
             peer.identity.name: {"live": peer.live(now), "domain": peer.identity.domain}
@@ -46,6 +48,15 @@
     }
 
 
+def _dump_knowledge(state: GatewayState, kind: ObjectKind) -> dict[str, Any]:
+    """Return how old this VM's knowledge of a kind of objects is, and may be, in milliseconds."""
+    age = state.knowledge.age(kind)
+    return {
+        "age_ms": None if age is None else int(age.total_seconds() * 1000),
+        "max_age_ms": int(state.knowledge.max_age(kind).total_seconds() * 1000),
+    }
+
+
 def _dump_eras(state: GatewayState) -> dict[str, Any]:
     """Return the store's era and that of each replica, nothing if the store names none."""
     if not state.store_era:
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -9,6 +9,7 @@
 
 from carawayquay.backoff import Backoff
 from carawayquay.errors import HistoryLostError, StoreError, StoreUnreachableError
+from carawayquay.freshness import watch_complete_at
 from carawayquay.store_revision import NO_REVISION
 from carawayquay.store_watch import snapshot_source
 from carawayquay_gateway.replica_puller import ReplicaPuller
@@ -88,13 +89,13 @@
                 continue
             called_at = self._state.clock.now()
             try:
-                await self._follow_store()
-                self._record_store_call(None)
+                await self._follow_store(called_at)
+                self._record_store_call(None, called_at)
             except HistoryLostError:
                 self._must_list = True
             except StoreError as error:
                 self._note_outage(error, called_at)
-                self._record_store_call(error)
+                self._record_store_call(error, called_at)
                 await self._pull_if_behind()
                 await curio.sleep(self._backoff.next().total_seconds())
 
@@ -130,9 +131,10 @@
         if await self._puller.pull_from_newest():
             self._must_list = self._must_list and self._state.must_watch_store()
 
-    async def _follow_store(self) -> None:
+    async def _follow_store(self, called_at: timedelta) -> None:
         """Make one list or watch call to the store and apply its result.
 
+        :param called_at: the present time
         :raises StoreError: if the call fails
         """
         if self._must_list:
@@ -144,25 +146,37 @@
                     f"{self._replica.revision}"
                 )
             self._must_list = False
+            self._state.knowledge.confirm_revision(listing.revision, called_at)
             await self._state.announce_departures()
             return
         self._state.store_answered.setdefault(self._replica.kind, True)
-        changes = await self._watch_until_behind()
+        wait = self._current_watch_timeout()
+        changes = await self._watch_until_behind(wait)
         if changes is None:
             self._must_list = True
             return
         self._replica.apply_changes(changes)
+        self._confirm_watch(changes, called_at, wait)
         await self._state.announce_departures()
         if changes.events:
             await curio.sleep(_BATCH_SECONDS)
 
-    async def _watch_until_behind(self) -> ObjectChanges | None:
+    def _confirm_watch(self, changes: ObjectChanges, called_at: timedelta, wait: timedelta) -> None:
+        """Record up to when the answer to a watch confirms this VM's knowledge."""
+        changed = bool(changes.events)
+        now = self._state.clock.now()
+        self._state.knowledge.confirm_revision(
+            changes.revision, watch_complete_at(called_at, now, wait, changed=changed)
+        )
+
+    async def _watch_until_behind(self, wait: timedelta) -> ObjectChanges | None:
         """Return the changes of a watch, or None if it is behind another VM or this VM was paused.
 
+        :param wait: the longest time to wait for a change
         :raises StoreError: if the store does not answer
         """
         async with curio.TaskGroup(wait=any) as group:
-            watching = await group.spawn(self._watch)
+            watching = await group.spawn(self._watch, wait)
             await group.spawn(self._wait_until_behind)
         if group.completed is not watching:
             return None
@@ -172,13 +186,10 @@
             case changes:
                 return changes
 
-    async def _watch(self) -> ObjectChanges | StoreError:
+    async def _watch(self, wait: timedelta) -> ObjectChanges | StoreError:
         """Return the changes or the error; curio would log an error that ends a task."""
         try:
-            revision = self._replica.revision
-            return await self._store.watch(
-                self._replica.kind, revision, self._current_watch_timeout()
-            )
+            return await self._store.watch(self._replica.kind, self._replica.revision, wait)
         except StoreError as error:
             return error
 
@@ -215,7 +226,7 @@
         before = self._state.store_failed_at
         self._state.store_failed_at = called_at if before is None else max(before, called_at)
 
-    def _record_store_call(self, error: StoreError | None) -> None:
+    def _record_store_call(self, error: StoreError | None, called_at: timedelta) -> None:
         connected = error is None
         self._last_call_failed = not connected
         if not connected or self._state.must_watch_store():
@@ -232,4 +243,10 @@
         if connected:
             _log.info(Event.STORE_FOUND, kind=self._replica.kind.name)
         else:
-            _log.warning(Event.STORE_LOST, kind=self._replica.kind.name, reason=error)
+            waited = self._state.clock.now() - called_at
+            _log.warning(
+                Event.STORE_LOST,
+                kind=self._replica.kind.name,
+                waited_ms=int(waited.total_seconds() * 1000),
+                reason=error,
+            )
--- a/packages/gateway/tests/gateway_domain.py
+++ b/packages/gateway/tests/gateway_domain.py
@@ -55,9 +55,12 @@
                 sender.watching,
                 era=sender.replica_era,
                 version=sender.configuration_version,
+                confirmed_ms=sender.knowledge.reported_ages(),
             )
             for state in states:
                 state.peers.receive(report, state.clock.now())
+                if state is not sender:
+                    state.knowledge.confirm_by_report(report, state.clock.now())
         await curio.sleep(_REPORT_INTERVAL_SECONDS)
 
 
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -34,6 +34,8 @@
     STORE_LOST = "store-lost"
     STORE_FOUND = "store-found"
     STORE_RESTORED = "store-restored"
+    KNOWLEDGE_OUTDATED = "knowledge-outdated"
+    KNOWLEDGE_CONFIRMED = "knowledge-confirmed"
     REPLICA_RESTORED = "replica-restored"
     OBJECT_KEPT = "object-kept"
     OBJECT_WITHHELD = "object-withheld"
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -88,6 +88,7 @@
         watching=report.watching,
         asking=report.asking,
         cutOff=report.cut_off,
+        confirmedMs=list(report.confirmed_ms),
         num_first_segment_words=_SEGMENT_WORDS,
         **_common_fields(report),
     )
@@ -106,6 +107,7 @@
                 watching=reader.watching,
                 asking=reader.asking,
                 cut_off=reader.cutOff,
+                confirmed_ms=tuple(reader.confirmedMs),
                 **_common_attributes(reader),
             )
     except (capnp.KjException, struct.error, ValueError) as error:
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -30,6 +30,7 @@
   era @13 :UInt32;
   version @14 :UInt64;
   cutOff @15 :Bool;
+  confirmedMs @16 :List(UInt32);  # see LoadReport.confirmed_ms, by kind like revisions
 }
 
 struct DomainSummary {
