Show that a watch without an answer is taken for no change (known red)

Our stand-ins of the stores learn to swallow calls: taken, never answered, the connection stays open. A VM counts as watching as soon as it has sent a watch. 13 of 13 fail.

--- /dev/null
+++ b/packages/gateway/tests/test_silent_watches.py
@@ -0,0 +1,157 @@
+"""A watch that the store took and never answers is not taken for the answer that nothing changed.
+
+The deadlines are those of the default settings, which are the strictest of the deployments.
+"""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import curio
+import pytest
+from curio.network import run_server, tcp_server_socket
+from gateway_builders import configuration, route, run, settings, target
+from gateway_domain import linked_domain, until, update_forever
+
+from carawayquay.membership import Address
+from carawayquay_gateway.watcher import Watcher
+from carawayquay_platform.store import PlatformStoreClient
+from carawayquay_standins.platform_store import PlatformStoreStandIn
+
+_HOST = "127.9.43.1"
+_DEADLINES = settings().deadlines
+_CONTACT_SECONDS = _DEADLINES.contact.total_seconds()
+_CALL_TIMEOUT = timedelta(seconds=1)
+
+_SILENCE_SECONDS = 1.5
+
+#: Time after a change in which all watches have returned and were sent again.
+_WATCHES_SENT_AGAIN_SECONDS = 0.6
+
+_KINDS = {"config": "configuration", "servers": "departure", "evacuations": "evacuation"}
+
+
+class _Site:
+    """A store, and VMs of one failure domain that hear of no other domain."""
+
+    def __init__(self):
+        self.store = PlatformStoreStandIn()
+        self.states = []
+        self._tasks = []
+        self._changes = 3
+
+    async def start(self, vms):
+        await self.store.put("config", "main", configuration(version=3))
+        await self.store.put("servers", "t1", target("127.0.0.1:81"))
+        sock = tcp_server_socket(_HOST, 0)
+        address = Address(_HOST, sock.getsockname()[1])
+        await curio.spawn(run_server, sock, self.store.http.serve, daemon=True)
+        self.states = await linked_domain(vms)
+        for state in self.states:
+            client = PlatformStoreClient(address, _CALL_TIMEOUT)
+            for replica in state.replicas.values():
+                watcher = Watcher(state, client, replica, random.Random(1))
+                self._tasks.append(await curio.spawn(watcher.run, daemon=True))
+            self._tasks.append(await curio.spawn(update_forever, state, daemon=True))
+        await until(lambda: all(state.ready for state in self.states))
+        await until(lambda: any(state.watching for state in self.states))
+        await curio.sleep(_WATCHES_SENT_AGAIN_SECONDS)
+
+    async def stop(self):
+        for task in self._tasks:
+            await task.cancel()
+
+    async def change(self, kind):
+        """Change an object of a kind; return a function that tells of a VM whether it is known."""
+        self._changes += 1
+        number = self._changes
+        match kind:
+            case "config":
+                named = route(name=f"route-{number}")
+                await self.store.put("config", "main", configuration(named, version=number))
+                return lambda state: state.configuration.version == number
+            case "servers":
+                draining = target("127.0.0.1:81", state="draining", sequence=number)
+                await self.store.put("servers", "t1", draining)
+                return lambda state: state.targets.get("t1").sequence == number
+        await self.store.put("evacuations", f"domain-{number}", {})
+        return lambda state: f"domain-{number}" in state.evacuated
+
+    async def change_all(self):
+        """Change an object of each kind, so that the watches of all kinds return."""
+        for kind in _KINDS:
+            await self.change(kind)
+
+    async def known_within(self, kind, seconds):
+        """Change an object of a kind, and wait until all VMs know of it, for some seconds."""
+        known = await self.change(kind)
+        async with curio.timeout_after(seconds):
+            await until(lambda: all(known(state) for state in self.states))
+
+
+def _run(check, *args):
+    async def checked():
+        site = _Site()
+        try:
+            await check(site, *args)
+        finally:
+            await site.stop()
+
+    run(checked)
+
+
+def _deadline_seconds(kind):
+    return getattr(_DEADLINES, _KINDS[kind]).total_seconds()
+
+
+@pytest.mark.parametrize("vms", [1, 3])
+@pytest.mark.parametrize("kind", _KINDS)
+def test_change_after_a_silence_of_the_store_is_in_force_once_the_contact_time_is_over(kind, vms):
+    async def check(site):
+        await site.start(vms)
+        await site.change_all()
+        await curio.sleep(0.1)
+        site.store.faults.silent = True
+        await curio.sleep(_SILENCE_SECONDS)
+        site.store.faults.silent = False
+        await curio.sleep(max(0.0, _CONTACT_SECONDS - _deadline_seconds(kind)))
+        await site.known_within(kind, _deadline_seconds(kind))
+
+    _run(check)
+
+
+@pytest.mark.parametrize("vms", [1, 3])
+@pytest.mark.parametrize("kind", _KINDS)
+def test_change_that_a_swallowed_watch_should_have_delivered_is_in_force_in_time(kind, vms):
+    async def check(site):
+        await site.start(vms)
+        swallowed = []
+
+        def swallow(request):
+            # The next watch of the kind is lost on each VM, also if it is sent again at once.
+            found = f"/{kind}?" in request.target and "wait_ms=0" not in request.target
+            if found and len(swallowed) < vms:
+                swallowed.append(request)
+                return True
+            return False
+
+        site.store.faults.swallow = swallow
+        await site.change(kind)
+        await curio.sleep(_WATCHES_SENT_AGAIN_SECONDS)
+        assert swallowed
+        await site.known_within(kind, _deadline_seconds(kind))
+
+    _run(check)
+
+
+def test_vm_that_takes_over_in_a_silence_does_not_count_as_watching():
+    async def check(site):
+        await site.start(3)
+        site.store.faults.silent = True
+        next(state for state in site.states if state.watching).stopping = True
+        for _ in range(100):
+            await curio.sleep(0.01)
+            assert not any(state.watching for state in site.states if not state.stopping)
+
+    _run(check)
--- a/standins/src/carawayquay_standins/platform_store.py
+++ b/standins/src/carawayquay_standins/platform_store.py
@@ -21,12 +21,18 @@
 _PAGE_ITEMS = 500
 
 
+def _swallow_none(_: HttpRequest) -> bool:
+    """Swallow no call."""
+    return False
+
+
 @attrs.define
 class PlatformFaults:
     """Faults to inject.
 
     :param down: close every connection without an answer
     :param silent: accept calls and never answer them
+    :param swallow: tells of each call whether to accept it and never answer it
     :param refuse_status: status to answer every call with; 0 to serve calls
     :param delay_seconds: delay of each answer
     :param lose_writes: number of writes to apply without an answer
@@ -34,6 +40,7 @@
 
     down: bool = False
     silent: bool = False
+    swallow: Callable[[HttpRequest], bool] = _swallow_none
     refuse_status: int = 0
     delay_seconds: float = 0.0
     lose_writes: int = 0
@@ -134,7 +141,7 @@
     async def _handle(self, request: HttpRequest) -> HttpResponse | None:
         faults = self.faults
         self.calls.append(f"{request.method} {request.target}")
-        if faults.silent:
+        if faults.silent or faults.swallow(request):
             await curio.Event().wait()
         if faults.down:
             return None
--- a/standins/src/carawayquay_standins/store.py
+++ b/standins/src/carawayquay_standins/store.py
@@ -20,6 +20,7 @@
     """Faults to inject.
 
     :param down: close every connection without an answer
+    :param swallow: accept calls and never answer them; waiting watches go on
     :param delay_ms: delay of each answer in milliseconds
     :param lose_writes: number of writes to apply without an answer
     :param stale: answer reads and watches from a snapshot taken when the fault is first set
@@ -27,6 +28,7 @@
     """
 
     down: bool = False
+    swallow: bool = False
     delay_ms: int = 0
     lose_writes: int = 0
     stale: bool = False
@@ -86,6 +88,8 @@
         url = urlsplit(request.target)
         if self._faults.down:
             return None
+        if self._faults.swallow:
+            await curio.Event().wait()
         if self._faults.delay_ms:
             await curio.sleep(self._faults.delay_ms / 1000)
         match [part for part in url.path.split("/") if part]:
