Check beside each watch of the store what it may have missed

What callers saw: a change that the store had confirmed was in force nowhere for up to 17 s, and requests ran at the service of an older configuration, at targets that had left and in evacuated domains. Cause: a watch that the store takes and never answers was taken for the answer that nothing changed. A change just before makes the watches of all domains return together and be sent again into the same silence, so that no VM is ahead. Change: while a watch waits, the VM asks for changes since its revision, without a wait, once its knowledge of the kind is older than 0.55 of the kind's deadline. The answer confirms every kind that has reached the store's revision. A VM counts as watching only once the store has answered it and while its knowledge is confirmed; a VM whose knowledge is overdue asks the store itself, whatever others report. Configurations and evacuations are reported to the domain at once, as departures were. Watches wait for 28 s in place of 16 s, and for 2 s no more after a failure.

--- a/models/src/carawayquay_models/__main__.py
+++ b/models/src/carawayquay_models/__main__.py
@@ -12,6 +12,7 @@
     slot_lists,
     slot_loans,
     store_restores,
+    store_watches,
 )
 from carawayquay_models.verdicts import print_verdicts
 
@@ -29,6 +30,7 @@
     conditional_writes.main()
     document_replication.main()
     store_restores.main()
+    store_watches.main()
     peer_forwarding.main()
 
 
--- a/packages/core/tests/test_freshness.py
+++ b/packages/core/tests/test_freshness.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 from object_builders import seconds
 
-from carawayquay.freshness import FRESHNESS_LIMIT, UNCONFIRMED_MS, Freshness
+from carawayquay.freshness import (
+    FRESHNESS_LIMIT,
+    UNCONFIRMED_MS,
+    Freshness,
+    watch_complete_at,
+)
 
 
 def freshness():
@@ -42,6 +47,21 @@
     assert fresh.age(seconds(10)) is None
 
 
+def test_age_of_one_kind_is_independent_of_the_others():
+    fresh = freshness()
+    fresh.confirm("documents", seconds(10))
+    assert fresh.age_of("documents", seconds(12)) == seconds(2)
+    assert fresh.age_ms_of("vms", seconds(12)) == UNCONFIRMED_MS
+
+
+def test_answer_to_a_watch_is_complete_up_to_the_end_of_its_wait_only_without_changes():
+    asked_at, wait = seconds(10), seconds(3)
+    at_end, early = seconds(13.1), seconds(11)
+    assert watch_complete_at(asked_at, at_end, wait, changed=False) == seconds(13)
+    assert watch_complete_at(asked_at, at_end, wait, changed=True) == asked_at
+    assert watch_complete_at(asked_at, early, wait, changed=False) == asked_at
+
+
 @given(st.lists(st.tuples(st.floats(0, 5), st.floats(0, 5)), min_size=1, max_size=8))
 def test_age_along_a_chain_of_peers_is_never_less_than_the_true_age(hops):
     origin = freshness()
--- a/packages/core/tests/test_store_watch.py
+++ b/packages/core/tests/test_store_watch.py
@@ -6,6 +6,7 @@
 from itertools import product
 
 from carawayquay.entry_peers import EntryPeers
+from carawayquay.freshness import UNCONFIRMED_MS
 from carawayquay.load_reports import LoadReport, VMIdentity
 from carawayquay.store_watch import must_watch_store, snapshot_source
 
@@ -43,6 +44,24 @@
     assert all(_must_watch([True] * 4, leaving=[True] * 4))
 
 
+def test_vm_whose_objects_were_not_confirmed_lately_does_not_count_as_watching():
+    """Guards against reliance on a VM whose watch hangs, or that does not report ages."""
+    max_age = timedelta(seconds=3)
+    first = next(vm for vm in VMS if _must_watch([True] * 4)[VMS.index(vm)])
+    own = next(vm for vm in VMS if vm != first)
+    for ages, since_report, relied_on in (
+        ((2900, 0, 0), 0.0, True),
+        ((2900, 0, 0), 0.2, False),
+        ((0, 0, 3001), 0.0, False),
+        ((0, UNCONFIRMED_MS, 0), 0.0, False),
+        ((), 0.0, False),
+    ):
+        peers = EntryPeers(own)
+        peers.receive(LoadReport(first, 1, False, (), True, confirmed_ms=ages), NOW)
+        now = NOW + timedelta(seconds=since_report)
+        assert must_watch_store(own, peers, now, max_age=max_age) is not relied_on
+
+
 def test_vms_of_other_domains_do_not_count():
     peers = EntryPeers(VMS[0])
     other = VMIdentity("vm-9", "10.0.0.9", "b", "west", 1)
--- a/packages/gateway/src/carawayquay_gateway/knowledge.py
+++ b/packages/gateway/src/carawayquay_gateway/knowledge.py
@@ -21,6 +21,14 @@
 
 _MILLISECOND = timedelta(milliseconds=1)
 
+#: Part of a deadline after which a VM that watches the store asks whether its watch missed a
+#: change; the rest is for the answer, and for telling the other VMs of the domain.
+_CHECK_SHARE = 0.55
+
+#: Time by which the check of each kind is later than that of the kind before, whose answer mostly
+#: confirms it too.
+_CHECK_STAGGER = timedelta(milliseconds=200)
+
 
 class StoreKnowledge:
     """Tracks up to when this VM knows all changes of each kind that the store has confirmed.
@@ -32,6 +40,7 @@
     def __init__(self, state: GatewayState) -> None:
         self._state = state
         self._freshness = Freshness()
+        self._started_at = state.clock.now()
         self._outdated: set[ObjectKind] = set()
         for kind in state.replicas:
             self._freshness.track(kind.name)
@@ -41,6 +50,21 @@
         """Whether the knowledge of every kind is within its maximum age."""
         return not any(self._exceeds_max_age(kind) for kind in self._state.replicas)
 
+    @property
+    def longest_max_age(self) -> timedelta:
+        """The longest maximum age of any kind."""
+        return max(self.max_age(kind) for kind in self._state.replicas)
+
+    @property
+    def overdue(self) -> bool:
+        """Whether no confirmation of some kind arrived within its maximum age, or since the start.
+
+        This VM has to ask the store itself then, whatever other VMs report.
+        """
+        running = self._state.clock.now() - self._started_at
+        kinds = self._state.replicas
+        return any(running > self.max_age(kind) and self._exceeds_max_age(kind) for kind in kinds)
+
     def age(self, kind: ObjectKind) -> timedelta | None:
         """Return the age of the knowledge of a kind, or None if it was never confirmed."""
         return self._freshness.age_of(kind.name, self._state.clock.now())
@@ -53,12 +77,18 @@
     def max_age(self, kind: ObjectKind) -> timedelta:
         """Return the age that the knowledge of a kind does not exceed while the store answers.
 
-        A VM has to keep a deadline only after the contact time, and hears at its next report what
-        another one has confirmed.
+        A VM has to keep a deadline only after the contact time, and hears in reports, of which one
+        may be lost, what another VM has confirmed.
         """
         vms = len(self._state.peers.domain_peers)
         interval = report_timing(Distance.DOMAIN, vms).interval
-        return max(self._state.settings.deadlines.contact, self._deadline(kind)) + interval
+        return max(self._state.settings.deadlines.contact, self._deadline(kind)) + 2 * interval
+
+    def check_due(self, kind: ObjectKind) -> bool:
+        """Return whether the store should be asked about a kind that this VM watches."""
+        age = self.age(kind)
+        stagger = list(self._state.replicas).index(kind) * _CHECK_STAGGER
+        return age is None or age >= _CHECK_SHARE * self._deadline(kind) + stagger
 
     def confirm(self, kind: ObjectKind, at: timedelta) -> None:
         """Record that this VM knows all changes of a kind up to a time."""
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -91,19 +91,19 @@
         async with curio.TaskGroup() as group:
             await group.spawn(self._sock.receive, self._handle_datagram, self._state.wake_followers)
             await group.spawn(self._send)
-            await group.spawn(self._announce_departures)
+            await group.spawn(self._announce_changes)
 
     def announce(self) -> None:
         """Send a report to every VM of the domain at once, as it may not wait until it is due."""
         if self._sock is not None:
             self._send_to([peer.identity.host for peer in self._state.peers.domain_peers])
 
-    async def _announce_departures(self) -> None:
-        """Report at once that targets left, at most once in the interval of regular reports."""
+    async def _announce_changes(self) -> None:
+        """Report at once that there are changes, at most once in the regular reports' interval."""
         state = self._state
         while True:
-            await state.departures_known.wait()
-            state.departures_known.clear()
+            await state.changes_known.wait()
+            state.changes_known.clear()
             self.announce()
             vms = len(state.peers.domain_peers)
             await curio.sleep(report_timing(Distance.DOMAIN, vms).interval.total_seconds())
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -84,9 +84,9 @@
         self.ticker = Ticker(Random(identity.incarnation ^ short_hash(identity.name)))
         #: Set for a moment when a VM of the own domain reports changes that this VM does not have.
         self.changes_reported = curio.Event()
-        #: Set when this VM took from the store that targets left, until other VMs are told.
-        self.departures_known = curio.Event()
-        self._told_departures = 0
+        #: Set when this VM took changes from the store that others wait for, until it tells them.
+        self.changes_known = curio.Event()
+        self._told_changes: object = None
         #: Whether the last store call succeeded, for each kind that this VM itself watches.
         self.store_answered: dict[ObjectKind, bool] = {}
         self.configuration: Configuration | None = None
@@ -136,8 +136,9 @@
 
     @property
     def watching(self) -> bool:
-        """Whether this VM watches the store for all kinds and the last calls succeeded."""
-        return len(self.store_answered) == len(self.replicas) and all(self.store_answered.values())
+        """Whether this VM watches the store for all kinds, and the store answers it."""
+        answered = self.store_answered.values()
+        return len(answered) == len(self.replicas) and all(answered) and self.knowledge.current
 
     def note_store_era(self, era: int) -> None:
         """Record the era that the store named; a higher one than before tells of a restore."""
@@ -168,14 +169,20 @@
 
     def must_watch_store(self) -> bool:
         """Return whether this VM must watch the store, and does not only follow other VMs."""
-        now = self.clock.now()
-        return must_watch_store(self.identity, self.peers, now, self.replica_era)
+        now, max_age = self.clock.now(), self.knowledge.longest_max_age
+        return self.knowledge.overdue or must_watch_store(
+            self.identity, self.peers, now, self.replica_era, max_age
+        )
 
-    async def announce_departures(self) -> None:
-        """Have other VMs told if targets left since the last call."""
-        if self.targets.departures != self._told_departures:
-            self._told_departures = self.targets.departures
-            await self.departures_known.set()
+    async def announce_changes(self) -> None:
+        """Have other VMs told if changes came since the last call that must be in force soon.
+
+        Those are targets that left, evacuations, and configurations.
+        """
+        changes = (self.targets.departures, self.configuration_version, frozenset(self.evacuated))
+        if changes != self._told_changes:
+            self._told_changes = changes
+            await self.changes_known.set()
 
     async def wake_followers(self) -> None:
         """Wake the tasks that wait for changes, if a VM of the own domain reports any."""
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import attrs
 import curio
 
 from carawayquay.backoff import Backoff
@@ -28,13 +29,8 @@
 
 _log = EventLog("watcher")
 
-#: Timeout of a watch. A watch that the store never answers is noticed only then, or when another
-#: VM reports a change that the watch should have delivered.
-_WATCH_TIMEOUT = timedelta(seconds=16)
-
-#: Shorter timeout for a while after a failure, in which calls may be lost without an error.
-_CAUTIOUS_WATCH_TIMEOUT = timedelta(seconds=2)
-_CAUTIOUS_FOR = timedelta(seconds=10)
+#: Timeout of a watch. One that the store never answers is noticed sooner, by checks.
+_WATCH_TIMEOUT = timedelta(seconds=28)
 
 _MIN_RETRY_DELAY = timedelta(milliseconds=100)
 _MAX_RETRY_DELAY = timedelta(milliseconds=800)
@@ -52,6 +48,17 @@
 _LAG_SECONDS = 0.5
 
 
+@attrs.frozen
+class _Watched:
+    """The answer to a watch.
+
+    :param complete_at: up to when the answer is certain to contain every change
+    """
+
+    changes: ObjectChanges
+    complete_at: timedelta
+
+
 class Watcher:
     """Keeps the replica of one kind of object up to date.
 
@@ -76,7 +83,7 @@
         self._handled_pauses = state.pause_count
         self._puller = ReplicaPuller(state, replica)
         self._handled_revision = NO_REVISION
-        self._failed_at: timedelta | None = None
+        self._called_at = timedelta()
         self._last_call_failed = False
 
     async def run(self) -> None:
@@ -87,15 +94,14 @@
             if not self._must_list and not self._state.must_watch_store():
                 await self._follow_peers()
                 continue
-            called_at = self._state.clock.now()
             try:
-                await self._follow_store(called_at)
-                self._record_store_call(None, called_at)
+                await self._follow_store()
+                self._record_store_call(None)
             except HistoryLostError:
                 self._must_list = True
             except StoreError as error:
-                self._note_outage(error, called_at)
-                self._record_store_call(error, called_at)
+                self._note_outage(error)
+                self._record_store_call(error)
                 await self._pull_if_behind()
                 await curio.sleep(self._backoff.next().total_seconds())
 
@@ -131,73 +137,126 @@
         if await self._puller.pull_from_newest():
             self._must_list = self._must_list and self._state.must_watch_store()
 
-    async def _follow_store(self, called_at: timedelta) -> None:
-        """Make one list or watch call to the store and apply its result.
+    async def _follow_store(self) -> None:
+        """List the objects, or wait for changes, and apply the result.
 
-        :param called_at: the present time
-        :raises StoreError: if the call fails
+        The first call of a VM that begins to watch returns at once, so that the VM counts as
+        watching only when the store has answered it.
+
+        :raises StoreError: if the store does not answer
         """
         if self._must_list:
-            self._handled_pauses = self._state.pause_count
-            listing = await self._store.list(self._replica.kind)
-            if not self._puller.apply_listing(listing):
-                raise StoreError(
-                    f"listing at revision {listing.revision} is older than the replica's revision "
-                    f"{self._replica.revision}"
-                )
-            self._must_list = False
-            self._state.knowledge.confirm_revision(listing.revision, called_at)
-            await self._state.announce_departures()
-            return
-        self._state.store_answered.setdefault(self._replica.kind, True)
-        wait = self._current_watch_timeout()
-        changes = await self._watch_until_behind(wait)
-        if changes is None:
-            self._must_list = True
-            return
-        self._replica.apply_changes(changes)
-        self._confirm_watch(changes, called_at, wait)
-        await self._state.announce_departures()
-        if changes.events:
-            await curio.sleep(_BATCH_SECONDS)
-
-    def _confirm_watch(self, changes: ObjectChanges, called_at: timedelta, wait: timedelta) -> None:
-        """Record up to when the answer to a watch confirms this VM's knowledge."""
-        changed = bool(changes.events)
-        now = self._state.clock.now()
-        self._state.knowledge.confirm_revision(
-            changes.revision, watch_complete_at(called_at, now, wait, changed=changed)
-        )
+            await self._list()
+        elif self._replica.kind not in self._state.store_answered:
+            await self._apply_missed()
+        else:
+            await self._watch_and_check()
 
-    async def _watch_until_behind(self, wait: timedelta) -> ObjectChanges | None:
-        """Return the changes of a watch, or None if it is behind another VM or this VM was paused.
+    async def _list(self) -> None:
+        """List the objects and apply the listing.
 
-        :param wait: the longest time to wait for a change
-        :raises StoreError: if the store does not answer
+        :raises StoreError: if the store does not answer, or with an older state
+        """
+        self._handled_pauses = self._state.pause_count
+        self._called_at = called_at = self._state.clock.now()
+        listing = await self._store.list(self._replica.kind)
+        if not self._puller.apply_listing(listing):
+            raise StoreError(
+                f"listing at revision {listing.revision} is older than the replica's revision "
+                f"{self._replica.revision}"
+            )
+        self._must_list = False
+        self._state.knowledge.confirm_revision(listing.revision, called_at)
+        await self._state.announce_changes()
+
+    async def _watch_and_check(self) -> None:
+        """Apply the changes of a watch, or what a check shows that the watch missed.
+
+        List the objects next if the watch is behind another VM, or this VM was paused.
+
+        :raises StoreError: if the store does not answer the watch or a check
         """
         async with curio.TaskGroup(wait=any) as group:
-            watching = await group.spawn(self._watch, wait)
+            watching = await group.spawn(self._watch)
+            checking = await group.spawn(self._check_watch)
             await group.spawn(self._wait_until_behind)
-        if group.completed is not watching:
-            return None
-        match watching.result:
-            case StoreError() as error:
-                raise error
-            case changes:
-                return changes
+        if group.completed is watching:
+            await self._apply_watched(watching.result)
+        elif group.completed is checking:
+            self._handle_missed(checking.result)
+        else:
+            self._must_list = True
 
-    async def _watch(self, wait: timedelta) -> ObjectChanges | StoreError:
-        """Return the changes or the error; curio would log an error that ends a task."""
+    async def _watch(self) -> _Watched | StoreError:
+        """Return the answer or the error; curio would log an error that ends a task."""
+        self._called_at = called_at = self._state.clock.now()
+        kind, wait = self._replica.kind, self._watch_timeout
         try:
-            return await self._store.watch(self._replica.kind, self._replica.revision, wait)
+            changes = await self._store.watch(kind, self._replica.revision, wait)
         except StoreError as error:
             return error
+        answered_at = self._state.clock.now()
+        changed = bool(changes.events)
+        complete_at = watch_complete_at(called_at, answered_at, wait, changed=changed)
+        return _Watched(changes, complete_at)
+
+    async def _apply_watched(self, result: _Watched | StoreError) -> None:
+        """Apply the answer to a watch, and let further changes collect if it has any.
 
-    def _current_watch_timeout(self) -> timedelta:
-        now = self._state.clock.now()
-        if self._failed_at is not None and now - self._failed_at < _CAUTIOUS_FOR:
-            return min(self._watch_timeout, _CAUTIOUS_WATCH_TIMEOUT)
-        return self._watch_timeout
+        :raises StoreError: if there is none
+        """
+        match result:
+            case StoreError() as error:
+                raise error
+            case _Watched(changes, complete_at):
+                await self._apply(changes, complete_at)
+                if changes.events:
+                    await curio.sleep(_BATCH_SECONDS)
+
+    async def _check_watch(self) -> StoreError | None:
+        """Ask for changes while the watch waits; return once it missed one, or with an error."""
+        kind = self._replica.kind
+        while True:
+            await self._state.ticker.next()
+            if not self._state.knowledge.check_due(kind) or not self._state.must_watch_store():
+                continue
+            try:
+                if await self._apply_missed():
+                    return None
+            except StoreError as error:
+                return error
+
+    async def _apply_missed(self) -> bool:
+        """Apply all changes since the replica's revision; return whether there were any.
+
+        :raises StoreError: if the store does not answer
+        """
+        self._called_at = called_at = self._state.clock.now()
+        changes = await self._store.changes(self._replica.kind, self._replica.revision)
+        await self._apply(changes, called_at)
+        return bool(changes.events)
+
+    def _handle_missed(self, error: StoreError | None) -> None:
+        """Log and count a watch that missed a change.
+
+        :param error: the error of the check, if it failed
+        :raises StoreError: if the check failed
+        """
+        if error is not None:
+            raise error
+        kind = self._replica.kind.name
+        self._state.metrics.count("watches_missed_changes_total", kind=kind)
+        _log.warning(Event.WATCH_MISSED_CHANGE, kind=kind, revision=self._replica.revision)
+
+    async def _apply(self, changes: ObjectChanges, complete_at: timedelta) -> None:
+        """Apply changes, unless the replica was updated beyond them meanwhile.
+
+        :param complete_at: up to when the store confirms that there are no others
+        """
+        if changes.revision >= self._replica.revision:
+            self._replica.apply_changes(changes)
+        self._state.knowledge.confirm_revision(changes.revision, complete_at)
+        await self._state.announce_changes()
 
     async def _wait_until_behind(self) -> None:
         """Return once the watch is late for a change that another VM has, or this VM was paused."""
@@ -215,7 +274,7 @@
         known = self._replica.revision or NO_REVISION
         return newest.revision > max(known, self._handled_revision)
 
-    def _note_outage(self, error: StoreError, called_at: timedelta) -> None:
+    def _note_outage(self, error: StoreError) -> None:
         """Record that the store was away if a failed call shows it.
 
         One failure may only mean that a connection broke, for example while a watch waited on it.
@@ -224,9 +283,9 @@
         if not self._last_call_failed and not isinstance(error, StoreUnreachableError):
             return
         before = self._state.store_failed_at
-        self._state.store_failed_at = called_at if before is None else max(before, called_at)
+        self._state.store_failed_at = max(self._called_at, before or self._called_at)
 
-    def _record_store_call(self, error: StoreError | None, called_at: timedelta) -> None:
+    def _record_store_call(self, error: StoreError | None) -> None:
         connected = error is None
         self._last_call_failed = not connected
         if not connected or self._state.must_watch_store():
@@ -236,14 +295,13 @@
         else:
             # The store may have dropped changes from its history during the outage.
             self._must_list = True
-            self._failed_at = self._state.clock.now()
         if connected is self._connected:
             return
         self._connected = connected
         if connected:
             _log.info(Event.STORE_FOUND, kind=self._replica.kind.name)
         else:
-            waited = self._state.clock.now() - called_at
+            waited = self._state.clock.now() - self._called_at
             _log.warning(
                 Event.STORE_LOST,
                 kind=self._replica.kind.name,
--- a/packages/gateway/tests/test_silent_watches.py
+++ b/packages/gateway/tests/test_silent_watches.py
@@ -8,6 +8,7 @@
 import random
 from datetime import timedelta
 
+import attrs
 import curio
 import pytest
 from curio.network import run_server, tcp_server_socket
@@ -16,6 +17,7 @@
 
 from carawayquay.membership import Address
 from carawayquay_gateway.watcher import Watcher
+from carawayquay_platform.objects import ObjectKind
 from carawayquay_platform.store import PlatformStoreClient
 from carawayquay_standins.platform_store import PlatformStoreStandIn
 
@@ -145,6 +147,21 @@
     _run(check)
 
 
+def test_vm_that_cannot_pull_from_the_watching_one_asks_the_store_itself():
+    async def check(site):
+        await site.start(3)
+        await until(lambda: sum(state.watching for state in site.states) == 1)
+        follower = next(state for state in site.states if not state.watching)
+        unreachable = Address(_HOST, 1)
+        follower.settings = attrs.evolve(follower.settings, admin=unreachable)
+        known = await site.change("config")
+        max_age = follower.knowledge.max_age(ObjectKind.CONFIGURATION)
+        async with curio.timeout_after(max_age.total_seconds() + _CALL_TIMEOUT.total_seconds()):
+            await until(lambda: known(follower))
+
+    _run(check)
+
+
 def test_vm_that_takes_over_in_a_silence_does_not_count_as_watching():
     async def check(site):
         await site.start(3)
