--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -161,13 +161,13 @@
         started = time.monotonic()
         try:
             sock = await curio.timeout_after(self._dial_seconds, self._dialer, address)
-        except (OSError, curio.TaskTimeout) as error:
-            raise HttpError(
-                f"cannot connect to {address}: {error}",
-                sent=False,
-                refused=isinstance(error, ConnectionRefusedError),
-                timed_out=isinstance(error, curio.TaskTimeout),
-            ) from error
+        except curio.TaskTimeout as error:
+            reason = f"cannot connect to {address} within {self._dial_seconds:.3f} s"
+            raise HttpError(reason, sent=False, timed_out=True) from error
+        except OSError as error:
+            refused = isinstance(error, ConnectionRefusedError)
+            reason = f"cannot connect to {address}: {error}"
+            raise HttpError(reason, sent=False, refused=refused) from error
         _enable_keepalive(sock)
         if self._on_dial is not None:
             self._on_dial(address, time.monotonic() - started)
--- a/packages/wire/tests/test_dialing.py
+++ b/packages/wire/tests/test_dialing.py
@@ -11,6 +11,8 @@
 
 from carawayquay.membership import Address
 from carawayquay_wire.dialing import dial
+from carawayquay_wire.http import HttpRequest
+from carawayquay_wire.http_client import HttpClient, HttpError
 
 
 async def _echo(sock, _):
@@ -59,3 +61,20 @@
             await sock.close()
 
     curio.run(check)
+
+
+def test_error_of_a_timed_out_connection_names_the_time_limit():
+    """Guards against a clock reading in place of a reason."""
+
+    async def check():
+        listener = tcp_server_socket("127.0.0.1", 0, backlog=1)
+        address = Address("127.0.0.1", listener.getsockname()[1])
+        backlog_fillers = [await dial(address) for _ in range(2)]
+        client = HttpClient(dial_seconds=0.2)
+        request = HttpRequest("GET", "/", (), b"")
+        with pytest.raises(HttpError, match=f"^cannot connect to {address} within 0.200 s$"):
+            await client.exchange(address, request, 1.0)
+        for sock in backlog_fillers:
+            await sock.close()
+
+    curio.run(check)
