--- a/standins/tests/test_document_failures.py
+++ b/standins/tests/test_document_failures.py
@@ -5,6 +5,7 @@
 import json
 import socket
 import threading
+import time
 
 import curio
 import pytest
@@ -27,6 +28,9 @@
 #: confirmed.
 STALE_SECONDS = 5.0
 
+#: A silence of the store in which its watches are sent again.
+SILENCE_SECONDS = 2.5
+
 #: Time within which a VM serves after others of its domain were lost or restarted.
 SERVED_SECONDS = 10.0
 
@@ -161,6 +165,16 @@
     )
 
 
+def test_change_after_a_silence_of_the_store_is_in_force_in_time(domain_site):
+    """Guards against watches that the store took and never answers."""
+    monitor = VersionMonitor(domain_site)
+    monitor.wait_in_force(monitor.change("puget-a"))
+    domain_site.control(domain_site.store, swallow=True)
+    time.sleep(SILENCE_SECONDS)
+    domain_site.control(domain_site.store)
+    monitor.wait_in_force(monitor.change())
+
+
 def test_restarted_vm_gets_documents_from_peers_while_the_store_is_down(domain_site):
     monitor = VersionMonitor(domain_site)
     version = monitor.change()
