--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -11,11 +11,10 @@
 
 from carawayquay.cold_rates import ColdRateLimit, ColdRequestRates
 from carawayquay.discovery import TargetRegistry
-from carawayquay.entry_peers import EntryPeers, RegionRates
+from carawayquay.entry_peers import EntryPeers
 from carawayquay.evacuations import Evacuations
 from carawayquay.idle_timeouts import IdleTimeouts
 from carawayquay.load_reports import short_hash
-from carawayquay.local_share import RegionLoad
 from carawayquay.store_revision import NO_REVISION
 from carawayquay.store_watch import must_watch_store
 from carawayquay.target_limits import FleetView, ServiceLoad, TargetLimits
@@ -25,7 +24,8 @@
 from carawayquay_gateway.knowledge import StoreKnowledge
 from carawayquay_gateway.limit_recorder import LimitRecorder
 from carawayquay_gateway.object_applier import ObjectApplier
-from carawayquay_gateway.service_state import ASSUMED_LATENCY, ServiceState
+from carawayquay_gateway.region_loads import RegionLoads
+from carawayquay_gateway.service_state import ServiceState
 from carawayquay_gateway.ticker import Ticker
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_wire.events import Event, EventLog
@@ -47,13 +47,6 @@
 
 _log = EventLog("state")
 
-#: Lower bound on the local share in the estimate of demand from in-flight requests, which is
-#: unreliable if most of the region's requests spill over.
-_MIN_SHARE = 0.2
-
-#: Time for which summed rates of other VMs are cached; the rates are averages over seconds anyway.
-_RATES_TTL = timedelta(milliseconds=600)
-
 #: Interval for pruning the statistics of removed targets.
 _PRUNE_INTERVAL = timedelta(seconds=10)
 
@@ -105,8 +98,7 @@
         self._stats: dict[str, TargetStats] = {}
         self._names: dict[int, str] = {}
         self._names_revision = -1
-        self._rates = RegionRates()
-        self._rates_until = timedelta()
+        self._region_loads = RegionLoads(self)
         self._prune_at = timedelta()
         self._updated_at: timedelta | None = None
         self._started_at = clock.now()
@@ -227,10 +219,11 @@
             stats.end_ejection()
 
     def running(self, target: str) -> int:
-        """Return the estimated requests in flight at a target from all VMs."""
-        return self._in_flight_at(target, self.clock.now())
+        """Return the estimated requests in flight at a target from all VMs now."""
+        return self.in_flight_at(target, self.clock.now())
 
-    def _in_flight_at(self, target: str, now: timedelta) -> int:
+    def in_flight_at(self, target: str, now: timedelta) -> int:
+        """Return the estimated requests in flight at a target from all VMs at a time."""
         stats = self.stats(target)
         others = stats.other_requests(now)
         if others is None:
@@ -285,7 +278,7 @@
             self._prune_at = now + _PRUNE_INTERVAL
             self._prune_removed_targets()
             self.target_limits.expire(now)
-        self._update_shares(now)
+        self._region_loads.update(now)
 
     def _detect_pause(self, now: timedelta) -> None:
         """Count a pause, if this VM was stopped or suspended since the last update."""
@@ -299,54 +292,6 @@
         for name in [name for name in self._stats if self.targets.get(name) is None]:
             self.forget_target(name)
 
-    def _update_shares(self, now: timedelta) -> None:
-        """Update each service's local share: the share of requests that stay in this region."""
-        if self.configuration is None:
-            return
-        if now >= self._rates_until:
-            self._rates = self.peers.rates(now)
-            self._rates_until = now + _RATES_TTL
-        for name in self.configuration.service_names:
-            service = self.service(name)
-            service.local_share.update(self._region_load(name, service, now), now)
-
-    def _region_load(self, name: str, service: ServiceState, now: timedelta) -> RegionLoad:
-        usable = [
-            target for target in self.targets.ready(name) if target.domain not in self.evacuated
-        ]
-        region = self.settings.region
-        near = [target for target in usable if target.region == region]
-        code = short_hash(name)
-        own_rate = service.rate(now)
-        work = service.times.mean(ASSUMED_LATENCY)
-        demand = work * (own_rate + self._rates.of(region, code))
-        in_flight = service.smooth_in_flight(
-            sum(self._in_flight_at(target.name, now) for target in near)
-        )
-        if demand > 0:
-            # The measured in-flight requests are more reliable than the estimated work time.
-            demand = max(demand, in_flight / max(_MIN_SHARE, service.local_share.share))
-        return RegionLoad(
-            demand=demand,
-            capacity=self._capacity(near, work),
-            all_demand=work * (own_rate + self._rates.total(code)),
-            all_capacity=self._capacity(usable, work),
-            regions=len(set(self.settings.regions.values())),
-        )
-
-    def _capacity(self, targets: list[RegisteredTarget], work: float) -> float:
-        """Return the slots of targets that can be in use, fewer where they limit their requests.
-
-        :param work: mean service time in seconds
-        """
-        if not self.target_limits.limited:
-            return sum(target.slots for target in targets)
-        return sum(self._usable_slots(target, work) for target in targets)
-
-    def _usable_slots(self, target: RegisteredTarget, work: float) -> float:
-        rate = self.target_limits.usable_rate(target)
-        return target.slots if rate is None else min(target.slots, rate * work)
-
     def merge_warm_objects(self, warm_objects: Iterable[WarmObject]) -> None:
         """Merge another VM's report of the objects for which targets are warm."""
         names = self._target_names()
@@ -402,7 +347,7 @@
 
     def _service_load(self, name: str, now: timedelta) -> ServiceLoad:
         service = self.service(name)
-        rate = service.rate(now) + self._rates.total(short_hash(name))
+        rate = service.rate(now) + self._region_loads.rates.total(short_hash(name))
         return ServiceLoad(rate / max(1, len(self.targets.ready(name))), service.growth(now))
 
     def _fleet_view(self) -> FleetView:
