--- a/packages/gateway/src/carawayquay_gateway/knowledge.py
+++ b/packages/gateway/src/carawayquay_gateway/knowledge.py
@@ -101,7 +101,7 @@
                 self.confirm(kind, at)
 
     def confirm_by_report(self, report: LoadReport, now: timedelta) -> None:
-        """Apply the ages that a VM of the own domain reports, where it has no change that is new.
+        """Apply the ages that a VM of the own domain reports, for kinds whose changes this VM has.
 
         :param now: when the report arrived
         """
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -138,6 +138,37 @@
     _with_store(check)
 
 
+def test_changes_are_returned_without_waiting_also_where_there_is_none():
+    async def check(store, client):
+        await store.put(KIND.value, "vm", {"n": 1})
+        listing = await client.list(KIND)
+        unchanged = await curio.timeout_after(1.0, client.changes, KIND, listing.revision)
+        assert (unchanged.events, unchanged.revision) == ((), listing.revision)
+        await store.put("servers", "other", {})
+        await store.put(KIND.value, "vm", {"n": 2})
+        changed = await client.changes(KIND, listing.revision)
+        assert [event.object.value for event in changed.events] == [{"n": 2}]
+        assert changed.revision.number == store.revision
+
+    _with_store(check)
+
+
+def test_changes_that_the_store_swallows_or_has_discarded_raise_an_error():
+    async def check(store, client):
+        await store.put(KIND.value, "vm", {"n": 1})
+        known = (await client.list(KIND)).revision
+        store.faults.swallow = lambda request: "watch=" in request.target
+        with pytest.raises(StoreError, match="no response within 0.300 s"):
+            await client.changes(KIND, known)
+        store.faults.swallow = lambda request: False
+        await store.put(KIND.value, "vm", {"n": 2})
+        await store.compact_history()
+        with pytest.raises(HistoryLostError):
+            await client.changes(KIND, known)
+
+    _with_store(check)
+
+
 def test_watch_from_a_discarded_revision_raises_history_lost():
     async def check(store, client):
         listing = await client.list(KIND)
