Date a failed store call by its own start, not by a check beside it

What operators saw: store-lost waited_ms=3798 with reason "no response within 29.000 s".

Cause: Watcher._called_at was one field, written by the watch and by the check that runs beside it, so that a watch that failed was dated by the last check. GatewayState.store_failed_at read the same field, so an outage could be dated by a call that the store had answered.

Change: a failed call carries the time when it began (_FailedCall), and the watcher passes it on as a value.

--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -59,6 +59,17 @@
     complete_at: timedelta
 
 
+@attrs.frozen
+class _FailedCall:
+    """A call to the store that failed.
+
+    :param called_at: when the call began
+    """
+
+    error: StoreError
+    called_at: timedelta
+
+
 class Watcher:
     """Keeps the replica of one kind of object up to date.
 
@@ -83,7 +94,6 @@
         self._handled_pauses = state.pause_count
         self._puller = ReplicaPuller(state, replica)
         self._handled_revision = NO_REVISION
-        self._called_at = timedelta()
         self._last_call_failed = False
 
     async def run(self) -> None:
@@ -94,16 +104,16 @@
             if not self._must_list and not self._state.must_watch_store():
                 await self._follow_peers()
                 continue
-            try:
-                await self._follow_store()
-                self._record_store_call(None)
-            except HistoryLostError:
-                self._must_list = True
-            except StoreError as error:
-                self._note_outage(error)
-                self._record_store_call(error)
-                await self._pull_if_behind()
-                await curio.sleep(self._backoff.next().total_seconds())
+            match await self._follow_store():
+                case None:
+                    self._record_success()
+                case _FailedCall(HistoryLostError()):
+                    self._must_list = True
+                case _FailedCall() as failure:
+                    self._note_outage(failure)
+                    self._record_failure(failure)
+                    await self._pull_if_behind()
+                    await curio.sleep(self._backoff.next().total_seconds())
 
     async def _list_from_neighbour(self) -> None:
         """Pull the objects from a VM of the domain, unless none has them within the list delay.
@@ -137,116 +147,110 @@
         if await self._puller.pull_from_newest():
             self._must_list = self._must_list and self._state.must_watch_store()
 
-    async def _follow_store(self) -> None:
-        """List the objects, or wait for changes, and apply the result.
+    async def _follow_store(self) -> _FailedCall | None:
+        """List the objects, or wait for changes, and apply the result; return a call that failed.
 
         The first call of a VM that begins to watch returns at once, so that the VM counts as
         watching only when the store has answered it.
-
-        :raises StoreError: if the store does not answer
         """
         if self._must_list:
-            await self._list()
-        elif self._replica.kind not in self._state.store_answered:
-            await self._apply_missed()
-        else:
-            await self._watch_and_check()
-
-    async def _list(self) -> None:
-        """List the objects and apply the listing.
-
-        :raises StoreError: if the store does not answer, or with an older state
-        """
+            return await self._list()
+        if self._replica.kind not in self._state.store_answered:
+            match await self._apply_missed():
+                case _FailedCall() as failure:
+                    return failure
+            return None
+        return await self._watch_and_check()
+
+    async def _list(self) -> _FailedCall | None:
+        """List the objects and apply the listing, unless it is older than the replica."""
         self._handled_pauses = self._state.pause_count
-        self._called_at = called_at = self._state.clock.now()
-        listing = await self._store.list(self._replica.kind)
+        called_at = self._state.clock.now()
+        try:
+            listing = await self._store.list(self._replica.kind)
+        except StoreError as error:
+            return _FailedCall(error, called_at)
         if not self._puller.apply_listing(listing):
-            raise StoreError(
+            error = StoreError(
                 f"listing at revision {listing.revision} is older than the replica's revision "
                 f"{self._replica.revision}"
             )
+            return _FailedCall(error, called_at)
         self._must_list = False
         self._state.knowledge.confirm_revision(listing.revision, called_at)
         await self._state.announce_changes()
+        return None
 
-    async def _watch_and_check(self) -> None:
+    async def _watch_and_check(self) -> _FailedCall | None:
         """Apply the changes of a watch, or what a check shows that the watch missed.
 
         List the objects next if the watch is behind another VM, or this VM was paused.
-
-        :raises StoreError: if the store does not answer the watch or a check
         """
         async with curio.TaskGroup(wait=any) as group:
             watching = await group.spawn(self._watch)
             checking = await group.spawn(self._check_watch)
             await group.spawn(self._wait_until_behind)
         if group.completed is watching:
-            await self._apply_watched(watching.result)
-        elif group.completed is checking:
-            self._handle_missed(checking.result)
-        else:
-            self._must_list = True
-
-    async def _watch(self) -> _Watched | StoreError:
-        """Return the answer or the error; curio would log an error that ends a task."""
-        self._called_at = called_at = self._state.clock.now()
+            return await self._apply_watched(watching.result)
+        if group.completed is checking:
+            return self._handle_missed(checking.result)
+        self._must_list = True
+        return None
+
+    async def _watch(self) -> _Watched | _FailedCall:
+        """Wait for changes."""
+        called_at = self._state.clock.now()
         kind, wait = self._replica.kind, self._watch_timeout
         try:
             changes = await self._store.watch(kind, self._replica.revision, wait)
         except StoreError as error:
-            return error
+            return _FailedCall(error, called_at)
         answered_at = self._state.clock.now()
         changed = bool(changes.events)
         complete_at = watch_complete_at(called_at, answered_at, wait, changed=changed)
         return _Watched(changes, complete_at)
 
-    async def _apply_watched(self, result: _Watched | StoreError) -> None:
-        """Apply the answer to a watch, and let further changes collect if it has any.
-
-        :raises StoreError: if there is none
-        """
+    async def _apply_watched(self, result: _Watched | _FailedCall) -> _FailedCall | None:
+        """Apply the answer to a watch, and let further changes collect if it has any."""
         match result:
-            case StoreError() as error:
-                raise error
             case _Watched(changes, complete_at):
                 await self._apply(changes, complete_at)
                 if changes.events:
                     await curio.sleep(_BATCH_SECONDS)
+                return None
+            case _:
+                return result
 
-    async def _check_watch(self) -> StoreError | None:
-        """Ask for changes while the watch waits; return once it missed one, or with an error."""
+    async def _check_watch(self) -> _FailedCall | None:
+        """Ask for changes while the watch waits; return once it missed one, or a check failed."""
         kind = self._replica.kind
         while True:
             await self._state.ticker.next()
             if not self._state.knowledge.check_due(kind) or not self._state.must_watch_store():
                 continue
-            try:
-                if await self._apply_missed():
+            match await self._apply_missed():
+                case _FailedCall() as failure:
+                    return failure
+                case True:
                     return None
-            except StoreError as error:
-                return error
 
-    async def _apply_missed(self) -> bool:
-        """Apply all changes since the replica's revision; return whether there were any.
-
-        :raises StoreError: if the store does not answer
-        """
-        self._called_at = called_at = self._state.clock.now()
-        changes = await self._store.changes(self._replica.kind, self._replica.revision)
+    async def _apply_missed(self) -> bool | _FailedCall:
+        """Apply all changes since the replica's revision; return whether there were any."""
+        called_at = self._state.clock.now()
+        try:
+            changes = await self._store.changes(self._replica.kind, self._replica.revision)
+        except StoreError as error:
+            return _FailedCall(error, called_at)
         await self._apply(changes, called_at)
         return bool(changes.events)
 
-    def _handle_missed(self, error: StoreError | None) -> None:
-        """Log and count a watch that missed a change.
-
-        :param error: the error of the check, if it failed
-        :raises StoreError: if the check failed
-        """
-        if error is not None:
-            raise error
-        kind = self._replica.kind.name
-        self._state.metrics.count("watches_missed_changes_total", kind=kind)
-        _log.warning(Event.WATCH_MISSED_CHANGE, kind=kind, revision=self._replica.revision)
+    def _handle_missed(self, failure: _FailedCall | None) -> _FailedCall | None:
+        """Log and count a watch that missed a change, unless its check failed."""
+        if failure is None:
+            kind = self._replica.kind.name
+            self._state.metrics.count("watches_missed_changes_total", kind=kind)
+            _log.warning(Event.WATCH_MISSED_CHANGE, kind=kind, revision=self._replica.revision)
+        return failure
 
     async def _apply(self, changes: ObjectChanges, complete_at: timedelta) -> None:
         """Apply changes, unless the replica was updated beyond them meanwhile.
@@ -274,37 +278,40 @@
         known = self._replica.revision or NO_REVISION
         return newest.revision > max(known, self._handled_revision)
 
-    def _note_outage(self, error: StoreError) -> None:
+    def _note_outage(self, failure: _FailedCall) -> None:
         """Record that the store was away if a failed call shows it.
 
         One failure may only mean that a connection broke, for example while a watch waited on it.
         The call after it opens a new connection.
         """
-        if not self._last_call_failed and not isinstance(error, StoreUnreachableError):
+        if not self._last_call_failed and not isinstance(failure.error, StoreUnreachableError):
             return
         before = self._state.store_failed_at
-        self._state.store_failed_at = max(self._called_at, before or self._called_at)
-
-    def _record_store_call(self, error: StoreError | None) -> None:
-        connected = error is None
-        self._last_call_failed = not connected
-        if not connected or self._state.must_watch_store():
-            self._state.store_answered[self._replica.kind] = connected
-        if connected:
-            self._backoff.reset()
-        else:
-            # The store may have dropped changes from its history during the outage.
-            self._must_list = True
-        if connected is self._connected:
-            return
-        self._connected = connected
-        if connected:
+        self._state.store_failed_at = max(failure.called_at, before or failure.called_at)
+
+    def _record_success(self) -> None:
+        """Record that the store answered, and log it if it did not before."""
+        self._last_call_failed = False
+        if self._state.must_watch_store():
+            self._state.store_answered[self._replica.kind] = True
+        self._backoff.reset()
+        if self._connected is not True:
+            self._connected = True
             _log.info(Event.STORE_FOUND, kind=self._replica.kind.name)
-        else:
-            waited = self._state.clock.now() - self._called_at
-            _log.warning(
-                Event.STORE_LOST,
-                kind=self._replica.kind.name,
-                waited_ms=int(waited.total_seconds() * 1000),
-                reason=error,
-            )
+
+    def _record_failure(self, failure: _FailedCall) -> None:
+        """Record that the store did not answer, and log it if it did before."""
+        self._last_call_failed = True
+        self._state.store_answered[self._replica.kind] = False
+        # The store may have dropped changes from its history during the outage.
+        self._must_list = True
+        if self._connected is False:
+            return
+        self._connected = False
+        waited = self._state.clock.now() - failure.called_at
+        _log.warning(
+            Event.STORE_LOST,
+            kind=self._replica.kind.name,
+            waited_ms=int(waited.total_seconds() * 1000),
+            reason=failure.error,
+        )
--- a/packages/gateway/tests/test_silent_watches.py
+++ b/packages/gateway/tests/test_silent_watches.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import random
+import re
 from datetime import timedelta
 
 import attrs
 import curio
+import logbook
 import pytest
 from curio.network import run_server, tcp_server_socket
 from gateway_builders import configuration, route, run, settings, target
@@ -31,6 +33,9 @@
 #: Time after a change in which all watches have returned and were sent again.
 _WATCHES_SENT_AGAIN_SECONDS = 0.6
 
+#: Matches the line of a watch that failed by its time limit, with the time that it took.
+_WATCH_FAILED = re.compile(r"event=store-lost .*waited_ms=(\d+) reason=.*within 1\.500 s")
+
 _KINDS = {"config": "configuration", "servers": "departure", "evacuations": "evacuation"}
 
 
@@ -43,7 +48,7 @@
         self._tasks = []
         self._changes = 3
 
-    async def start(self, vms):
+    async def start(self, vms, watch_timeout=timedelta(seconds=28)):
         await self.store.put("config", "main", configuration(version=3))
         await self.store.put("servers", "t1", target("127.0.0.1:81"))
         sock = tcp_server_socket(_HOST, 0)
@@ -53,7 +58,7 @@
         for state in self.states:
             client = PlatformStoreClient(address, _CALL_TIMEOUT)
             for replica in state.replicas.values():
-                watcher = Watcher(state, client, replica, random.Random(1))
+                watcher = Watcher(state, client, replica, random.Random(1), watch_timeout)
                 self._tasks.append(await curio.spawn(watcher.run, daemon=True))
             self._tasks.append(await curio.spawn(update_forever, state, daemon=True))
         await until(lambda: all(state.ready for state in self.states))
@@ -172,3 +177,24 @@
             assert not any(state.watching for state in site.states if not state.stopping)
 
     _run(check)
+
+
+def test_failed_call_is_dated_by_its_own_start_and_not_by_a_check_beside_it():
+    """Guards against dating an outage by a call that the store answered."""
+
+    async def check(site):
+        site.store.faults.swallow = lambda request: "wait_ms=500" in request.target
+        await site.start(1, timedelta(milliseconds=500))
+        with logbook.TestHandler() as log:
+            async with curio.timeout_after(_CONTACT_SECONDS):
+                await until(lambda: _lost_after_milliseconds(log))
+        # The watch's own limit is its wait and a second.
+        assert all(milliseconds >= 1500 for milliseconds in _lost_after_milliseconds(log))
+
+    _run(check)
+
+
+def _lost_after_milliseconds(log):
+    """Return how long each call waited after which the store counted as lost."""
+    lines = (record.message for record in log.records)
+    return [int(found[1]) for line in lines if (found := _WATCH_FAILED.search(line))]
