Find silent connections to the store without the kernel's help

Cause: the design leans on TCP keep-alive to say that a connection is dead. Where a host, a proxy or the kernel goes on acknowledging, the watch waits on and a check on a reused connection takes its whole second to fail; then the store is listed after a delay.

Change: a check has 0.3 of its time limit on a reused connection and is then repeated on a new one. If that one answers at once, the connection was silent: the watches of all kinds are sent again, with no listing and without counting as a failed call. A store that is slow on any connection is not taken for a silent connection. Lines and a metric: connection-silent, silent_connections_total.

--- a/packages/core/src/carawayquay/errors.py
+++ b/packages/core/src/carawayquay/errors.py
@@ -22,6 +22,7 @@
     "Outcome",
     "RequestError",
     "SettingsError",
+    "SilentConnectionError",
     "StoreError",
     "StoreUnreachableError",
     "UnconfirmedWriteError",
@@ -204,6 +205,10 @@
     """No connection to the store could be opened."""
 
 
+class SilentConnectionError(StoreError):
+    """A connection to the store that had answered before did not answer in time."""
+
+
 class HistoryLostError(StoreError):
     """The revision from which to watch has been compacted away in the store."""
 
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -70,6 +71,13 @@
     called_at: timedelta
 
 
+class _WatchEnd(enum.Enum):
+    """Why a watch that the store has not answered is ended and sent again."""
+
+    CHANGE_MISSED = "a check found a change"
+    CONNECTION_SILENT = "a reused connection to the store did not answer a check"
+
+
 class Watcher:
     """Keeps the replica of one kind of object up to date.
 
@@ -193,7 +201,7 @@
         if group.completed is watching:
             return await self._apply_watched(watching.result)
         if group.completed is checking:
-            return self._handle_missed(checking.result)
+            return self._handle_unanswered(checking.result)
         self._must_list = True
         return None
 
@@ -221,18 +229,25 @@
             case _:
                 return result
 
-    async def _check_watch(self) -> _FailedCall | None:
-        """Ask for changes while the watch waits; return once it missed one, or a check failed."""
+    async def _check_watch(self) -> _WatchEnd | _FailedCall:
+        """Ask for changes while the watch waits, until it has to be sent again or a check fails.
+
+        A check of any kind that finds a silent connection ends the watches of all kinds, which may
+        wait on other silent ones.
+        """
         kind = self._replica.kind
+        silences = self._store.silences
         while True:
             await self._state.ticker.next()
+            if self._store.silences != silences:
+                return _WatchEnd.CONNECTION_SILENT
             if not self._state.knowledge.check_due(kind) or not self._state.must_watch_store():
                 continue
             match await self._apply_missed():
                 case _FailedCall() as failure:
                     return failure
                 case True:
-                    return None
+                    return _WatchEnd.CHANGE_MISSED
 
     async def _apply_missed(self) -> bool | _FailedCall:
         """Apply all changes since the replica's revision; return whether there were any."""
@@ -244,13 +259,19 @@
         await self._apply(changes, called_at)
         return bool(changes.events)
 
-    def _handle_missed(self, failure: _FailedCall | None) -> _FailedCall | None:
-        """Log and count a watch that missed a change, unless its check failed."""
-        if failure is None:
-            kind = self._replica.kind.name
-            self._state.metrics.count("watches_missed_changes_total", kind=kind)
-            _log.warning(Event.WATCH_MISSED_CHANGE, kind=kind, revision=self._replica.revision)
-        return failure
+    def _handle_unanswered(self, result: _WatchEnd | _FailedCall) -> _FailedCall | None:
+        """Log and count why a watch is ended before its answer; return a check that failed."""
+        kind = self._replica.kind.name
+        match result:
+            case _FailedCall() as failure:
+                return failure
+            case _WatchEnd.CHANGE_MISSED:
+                self._state.metrics.count("watches_missed_changes_total", kind=kind)
+                _log.warning(Event.WATCH_MISSED_CHANGE, kind=kind, revision=self._replica.revision)
+            case _WatchEnd.CONNECTION_SILENT:
+                self._state.metrics.count("silent_connections_total", kind=kind)
+                _log.warning(Event.CONNECTION_SILENT, kind=kind, to="store")
+        return None
 
     async def _apply(self, changes: ObjectChanges, complete_at: timedelta) -> None:
         """Apply changes, unless the replica was updated beyond them meanwhile.
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -33,6 +33,7 @@
     WOKEN = "woken"
     STORE_LOST = "store-lost"
     STORE_FOUND = "store-found"
+    CONNECTION_SILENT = "connection-silent"
     WATCH_MISSED_CHANGE = "watch-missed-change"
     STORE_RESTORED = "store-restored"
     KNOWLEDGE_OUTDATED = "knowledge-outdated"
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from datetime import timedelta
 
 import curio
@@ -270,6 +271,59 @@
     curio.run(check)
 
 
+def _delayed_store(delays):
+    """Return a handler of connections that answers with a delay in seconds, or never if None.
+
+    :param delays: called with the number of the connection
+    """
+    page = b'{"items":[],"events":[],"has_more":false,"current_rev":1}'
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(page), page)
+    connections = itertools.count(1)
+
+    async def serve(sock, _):
+        number = next(connections)
+        while await sock.recv(65536):
+            delay = delays(number)
+            if delay is not None:
+                await curio.sleep(delay)
+                await sock.sendall(answer)
+
+    return serve
+
+
+def _check_after_list(delays):
+    """Return a client that has listed a kind, and then checked it for changes.
+
+    :param delays: of the answers after the listing, as for :func:`_delayed_store`
+    """
+
+    async def check():
+        listed = False
+        sock = tcp_server_socket("127.0.0.1", 0)
+        serve = _delayed_store(lambda number: delays(number) if listed else 0.0)
+        await curio.spawn(run_server, sock, serve, daemon=True)
+        address = Address("127.0.0.1", sock.getsockname()[1])
+        client = PlatformStoreClient(address, timedelta(milliseconds=500))
+        listing = await client.list(KIND)
+        listed = True
+        changes = await client.changes(KIND, listing.revision)
+        assert changes.revision == listing.revision
+        return client
+
+    return curio.run(check)
+
+
+def test_check_that_a_reused_connection_does_not_answer_is_repeated_on_a_new_one():
+    """Guards against waiting for keep-alive probes where a connection has fallen silent."""
+    client = _check_after_list(lambda number: None if number == 1 else 0.0)
+    assert client.silences == 1
+
+
+def test_check_that_the_store_answers_late_on_any_connection_shows_no_silent_connection():
+    client = _check_after_list(lambda _: 0.3)
+    assert client.silences == 0
+
+
 def test_store_that_refuses_connections_is_unreachable():
     async def check():
         sock = tcp_server_socket("127.0.0.1", 0)
