End a watch of the store that this VM need not make any more

Cause: a VM in whose place another one watches kept its waiting watch and no longer checked it. If that watch hung, the VM heard of changes only from the other one's reports, and acted on them up to 0.9 s later, by a listing of the store.

Change: the watch is ended at the next tick, and the VM follows the other one, from which it pulls changes at once.

--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -72,10 +72,11 @@
 
 
 class _WatchEnd(enum.Enum):
-    """Why a watch that the store has not answered is ended and sent again."""
+    """Why a watch is ended that the store has not answered."""
 
     CHANGE_MISSED = "a check found a change"
     CONNECTION_SILENT = "a reused connection to the store did not answer a check"
+    NOT_NEEDED = "another VM of the domain watches"
 
 
 class Watcher:
@@ -230,7 +231,7 @@
                 return result
 
     async def _check_watch(self) -> _WatchEnd | _FailedCall:
-        """Ask for changes while the watch waits, until it has to be sent again or a check fails.
+        """Ask for changes while the watch waits, until it has to be ended or a check fails.
 
         A check of any kind that finds a silent connection ends the watches of all kinds, which may
         wait on other silent ones.
@@ -241,7 +242,9 @@
             await self._state.ticker.next()
             if self._store.silences != silences:
                 return _WatchEnd.CONNECTION_SILENT
-            if not self._state.knowledge.check_due(kind) or not self._state.must_watch_store():
+            if not self._state.must_watch_store():
+                return _WatchEnd.NOT_NEEDED
+            if not self._state.knowledge.check_due(kind):
                 continue
             match await self._apply_missed():
                 case _FailedCall() as failure:
--- a/packages/gateway/tests/test_silent_watches.py
+++ b/packages/gateway/tests/test_silent_watches.py
@@ -179,6 +179,24 @@
     _run(check)
 
 
+def test_vm_that_need_not_watch_any_more_ends_its_watches():
+    """Guards against watches that nobody checks."""
+
+    async def check(site):
+        await site.start(3)
+        await until(lambda: sum(state.watching for state in site.states) == 1)
+        first = next(state for state in site.states if state.watching)
+        # The other VMs watch while the first one does not tell that it does.
+        first.stopping = True
+        others = [state for state in site.states if state is not first]
+        await until(lambda: any(state.watching for state in others))
+        first.stopping = False
+        async with curio.timeout_after(_CONTACT_SECONDS):
+            await until(lambda: not any(state.watching for state in others))
+
+    _run(check)
+
+
 def test_failed_call_is_dated_by_its_own_start_and_not_by_a_check_beside_it():
     """Guards against dating an outage by a call that the store answered."""
 
