Let a VM that loaded its objects from another one wait for the report of the VM that watches

Cause: a VM that starts has its objects from a neighbour before it has heard which VM of its domain watches the store, so each begins to watch for each kind, with a check besides, until the next report.

Change: it waits two report intervals, at most the contact time, in which it follows the others.

Evidence: test_vms_that_load_their_objects_from_another_one_leave_the_store_to_it: 22 of 22 VMs call the store on, one now.

--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -12,6 +12,7 @@
 from carawayquay.backoff import Backoff
 from carawayquay.errors import HistoryLostError, StoreError, StoreUnreachableError
 from carawayquay.freshness import watch_complete_at
+from carawayquay.report_timing import Distance, report_timing
 from carawayquay.store_revision import NO_REVISION
 from carawayquay.store_watch import snapshot_source
 from carawayquay_gateway.replica_puller import ReplicaPuller
@@ -45,6 +46,10 @@
 _OTHER_VMS_LIST_DELAY = timedelta(seconds=3)
 _NEIGHBOUR_POLL_SECONDS = 0.1
 
+#: Report intervals after a VM loaded its objects from another one in which it hears whether any
+#: VM of its domain watches the store.
+_INTERVALS_UNTIL_WATCHING = 2
+
 #: Time in which the watch should deliver a change after another VM has reported it.
 _LAG_SECONDS = 0.5
 
@@ -103,6 +108,7 @@
         self._handled_pauses = state.pause_count
         self._puller = ReplicaPuller(state, replica)
         self._handled_revision = NO_REVISION
+        self._loaded_at: timedelta | None = None
         self._last_call_failed = False
 
     async def run(self) -> None:
@@ -110,7 +116,7 @@
         await self._list_from_neighbour()
         while True:
             self._must_list = self._must_list or self._state.pause_count != self._handled_pauses
-            if not self._must_list and not self._state.must_watch_store():
+            if not self._must_list and not self._must_watch():
                 await self._follow_peers()
                 continue
             match await self._follow_store():
@@ -141,9 +147,25 @@
                 return
             if neighbour is not None and await self._puller.pull(neighbour.host, log_failure=False):
                 self._must_list = False
+                self._loaded_at = state.clock.now()
                 return
             await curio.sleep(_NEIGHBOUR_POLL_SECONDS)
 
+    def _must_watch(self) -> bool:
+        """Return whether this VM must watch the store.
+
+        One that loaded its objects from another VM waits a moment for the report of the VM that
+        watches, but not longer than the contact time.
+        """
+        if self._loaded_at is not None:
+            vms = len(self._state.peers.domain_peers)
+            interval = report_timing(Distance.DOMAIN, vms).interval
+            wait = min(_INTERVALS_UNTIL_WATCHING * interval, self._state.settings.deadlines.contact)
+            if self._state.clock.now() - self._loaded_at < wait:
+                return False
+            self._loaded_at = None
+        return self._state.must_watch_store()
+
     async def _follow_peers(self) -> None:
         """Pull changes from the VMs that watch the store, and wait for others or the next tick."""
         self._state.store_answered.pop(self._replica.kind, None)
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -25,6 +25,8 @@
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.metrics import Metrics
 
+_CONTACT_SECONDS = settings().deadlines.contact.total_seconds()
+
 KINDS = (ObjectKind.CONFIGURATION, ObjectKind.TARGETS, ObjectKind.EVACUATIONS)
 
 
@@ -336,3 +338,30 @@
 
 def _lists(store):
     return sum("watch=" not in call for call in store.calls)
+
+
+def test_vms_that_load_their_objects_from_another_one_leave_the_store_to_it():
+    """Guards against watches by every VM of a domain that starts."""
+
+    async def check():
+        store = await _filled()
+        address = await _listen(store.http)
+        callers = set()
+        states = await linked_domain(22, report_as_gateways=True)
+        # The first kind is announced before the store has answered for all of them.
+        for kind in KINDS:
+            for state in states:
+                name = state.identity.name
+                client = PlatformStoreClient(
+                    address, timedelta(seconds=1), lambda *_, name=name: callers.add(name)
+                )
+                watcher = Watcher(state, client, state.replicas[kind], random.Random(1))
+                await curio.spawn(watcher.run, daemon=True)
+            await curio.sleep(0.2)
+        for state in states:
+            await curio.spawn(update_forever, state, daemon=True)
+        await until(lambda: all(state.ready for state in states))
+        await curio.sleep(_CONTACT_SECONDS)
+        assert len(callers) == 1
+
+    run(check)
