Use no idle connection from before a failed call in the daemons' store client

The same class as the silent connections of the gateway's client, which does this since: after a watch that failed on a silent connection, the daemon lists on an idle one that may be silent too, so that a change is known another time limit later.

Evidence: test_store.py::test_call_after_a_failed_one_uses_no_connection_from_before_it fails without the change.

--- a/packages/wire/src/carawayquay_wire/store.py
+++ b/packages/wire/src/carawayquay_wire/store.py
@@ -155,6 +155,10 @@
             answered = response.status < _MIN_SERVER_ERROR_STATUS
             self._note_era(response)
             return response
+        except HttpError:
+            # What broke one connection may have broken those that are idle.
+            await self._http.drop_idle(self._address)
+            raise
         finally:
             if self._observe is not None:
                 self._observe(name, answered, time.monotonic() - started)
--- a/standins/tests/test_store.py
+++ b/standins/tests/test_store.py
@@ -8,6 +8,7 @@
 
 import curio
 import pytest
+from curio.network import run_server, tcp_server_socket
 
 from carawayquay.errors import ConflictError, StoreError, UnconfirmedWriteError
 from carawayquay.membership import Address
@@ -122,3 +123,32 @@
         return (await client.get("documents", "sledway")).value
 
     assert run_with_store(scenario) == {"n": 1}
+
+
+def test_call_after_a_failed_one_uses_no_connection_from_before_it():
+    """Guards against a silent idle connection that delays a call after a failed one."""
+
+    async def check():
+        silent = False
+        page = b'{"items":[],"revision":1}'
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(page), page)
+
+        async def serve(sock, _):
+            silent_before = silent
+            while await sock.recv(65536):
+                if silent == silent_before:
+                    await curio.sleep(0.05)
+                    await sock.sendall(answer)
+
+        sock = tcp_server_socket("127.0.0.1", 0)
+        await curio.spawn(run_server, sock, serve, daemon=True)
+        client = StoreClient(Address(*sock.getsockname()), timedelta(milliseconds=300))
+        async with curio.TaskGroup() as group:
+            for _ in range(3):
+                await group.spawn(client.list, "documents")
+        silent = True
+        with pytest.raises(StoreError):
+            await client.list("documents")
+        assert (await client.list("documents")).revision > 0
+
+    curio.run(check)
