Give the parts of the gateway's state what they use, in place of the state

knowledge, limit_recorder, object_applier and region_loads each took the whole GatewayState, which makes them: five files in one circle of imports. They now take the clock, registries and callbacks that they use; what the store's outages and restores leave behind is a class of its own (StoreHistory), and the configuration in force belongs to the object that puts it in force.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -118,7 +118,7 @@
         self._state = GatewayState(settings, clock or MonotonicClock(), Metrics(), identity)
         observe = self._state.metrics.observe_store_call
         self._store = PlatformStoreClient(
-            settings.store, settings.store_timeout, observe, self._state.note_store_era
+            settings.store, settings.store_timeout, observe, self._state.store_history.note_era
         )
         self._watchers = [
             Watcher(self._state, self._store, replica, generator)
@@ -167,10 +167,10 @@
         gauge("caller_connections", lambda: self._caller_server.open_connections)
         gauge("requests_active", lambda: self._forwarder.active)
         gauge("body_bytes", lambda: float(bodies.used))
-        gauge("configuration_remarks", lambda: float(len(self._state.remarks)))
+        gauge("configuration_remarks", lambda: float(len(self._state.object_applier.remarks)))
         gauge("objects_refused", lambda: float(len(self._state.object_applier.refused)))
         gauge("targets_limited", lambda: float(self._state.target_limits.limited))
-        gauge("store_era", lambda: float(self._state.store_era))
+        gauge("store_era", lambda: float(self._state.store_history.era))
         for kind in self._state.replicas:
             gauge(f"{kind.name.lower()}_age_seconds", partial(self._knowledge_age, kind))
         gauge("stopping", lambda: float(self._state.stopping))
--- a/packages/gateway/src/carawayquay_gateway/knowledge.py
+++ b/packages/gateway/src/carawayquay_gateway/knowledge.py
@@ -10,12 +10,19 @@
 from carawayquay.freshness import UNCONFIRMED_MS, Freshness
 from carawayquay.report_timing import Distance, report_timing
 from carawayquay.store_revision import StoreRevision
+from carawayquay_gateway.replicas import latest_era
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from carawayquay.clock import Clock
+    from carawayquay.deadlines import Deadlines
+    from carawayquay.entry_peers import EntryPeers
     from carawayquay.load_reports import LoadReport
-    from carawayquay_gateway.state import GatewayState
+    from carawayquay_gateway.replicas import Replica
+    from carawayquay_wire.metrics import Metrics
 
 __all__ = ["StoreKnowledge"]
 
@@ -33,27 +40,43 @@
 
     An answer of the store confirms this, or a report of a VM of the own domain whose last change
     of the kind this VM has too. That nothing was heard of a change confirms nothing.
+
+    :param domain: this VM's failure domain
+    :param deadlines: returns the deadlines in force
     """
 
-    def __init__(self, state: GatewayState) -> None:
-        self._state = state
+    def __init__(
+        self,
+        domain: str,
+        clock: Clock,
+        metrics: Metrics,
+        peers: EntryPeers,
+        replicas: Mapping[ObjectKind, Replica],
+        deadlines: Callable[[], Deadlines],
+    ) -> None:
+        self._domain = domain
+        self._clock = clock
+        self._metrics = metrics
+        self._peers = peers
+        self._replicas = replicas
+        self._deadlines = deadlines
         self._freshness = Freshness()
-        self._started_at = state.clock.now()
+        self._started_at = clock.now()
         self._outdated: set[ObjectKind] = set()
         #: Held during a check, since the answer about one kind mostly confirms the others too.
         self.checking = curio.Lock()
-        for kind in state.replicas:
+        for kind in replicas:
             self._freshness.track(kind.name)
 
     @property
     def current(self) -> bool:
         """Whether the knowledge of every kind is within its maximum age."""
-        return not any(self._exceeds_max_age(kind) for kind in self._state.replicas)
+        return not any(self._exceeds_max_age(kind) for kind in self._replicas)
 
     @property
     def longest_max_age(self) -> timedelta:
         """The longest maximum age of any kind."""
-        return max(self.max_age(kind) for kind in self._state.replicas)
+        return max(self.max_age(kind) for kind in self._replicas)
 
     @property
     def overdue(self) -> bool:
@@ -61,17 +84,17 @@
 
         This VM has to ask the store itself then, whatever other VMs report.
         """
-        running = self._state.clock.now() - self._started_at
-        kinds = self._state.replicas
+        running = self._clock.now() - self._started_at
+        kinds = self._replicas
         return any(running > self.max_age(kind) and self._exceeds_max_age(kind) for kind in kinds)
 
     def age(self, kind: ObjectKind) -> timedelta | None:
         """Return the age of the knowledge of a kind, or None if it was never confirmed."""
-        return self._freshness.age_of(kind.name, self._state.clock.now())
+        return self._freshness.age_of(kind.name, self._clock.now())
 
     def age_ms(self) -> int | None:
         """Return the age of the oldest knowledge in milliseconds, None if a kind is unconfirmed."""
-        age = self._freshness.age(self._state.clock.now())
+        age = self._freshness.age(self._clock.now())
         return None if age is None else age // _MILLISECOND
 
     def max_age(self, kind: ObjectKind) -> timedelta:
@@ -80,9 +103,9 @@
         A VM has to keep a deadline only after the contact time, and hears in reports, of which one
         may be lost, what another VM has confirmed.
         """
-        vms = len(self._state.peers.domain_peers)
+        vms = len(self._peers.domain_peers)
         interval = report_timing(Distance.DOMAIN, vms).interval
-        return max(self._state.settings.deadlines.contact, self._deadline(kind)) + 2 * interval
+        return max(self._deadlines().contact, self._deadline(kind)) + 2 * interval
 
     def check_due(self, kind: ObjectKind) -> bool:
         """Return whether the store should be asked about a kind that this VM watches."""
@@ -95,7 +118,7 @@
 
     def confirm_revision(self, revision: StoreRevision, at: timedelta) -> None:
         """Record that the store was at a revision at a time, for the kinds that have reached it."""
-        for kind, replica in self._state.replicas.items():
+        for kind, replica in self._replicas.items():
             if replica.revision is not None and replica.revision >= revision:
                 self.confirm(kind, at)
 
@@ -104,9 +127,9 @@
 
         :param now: when the report arrived
         """
-        if report.sender.domain != self._state.identity.domain:
+        if report.sender.domain != self._domain:
             return
-        kinds = self._state.replicas.items()
+        kinds = self._replicas.items()
         reported = zip(kinds, report.revisions, report.confirmed_ms, strict=False)
         for (kind, replica), number, age_ms in reported:
             theirs = StoreRevision(report.era, number)
@@ -117,19 +140,19 @@
 
     def reported_ages(self) -> tuple[int, ...]:
         """Return the age of each kind in milliseconds for reports, or ``UNCONFIRMED_MS``."""
-        now, era = self._state.clock.now(), self._state.replica_era
+        now, era = self._clock.now(), latest_era(self._replicas.values())
         return tuple(
             (
                 self._freshness.age_ms_of(kind.name, now)
                 if replica.change_revision.era == era
                 else UNCONFIRMED_MS
             )
-            for kind, replica in self._state.replicas.items()
+            for kind, replica in self._replicas.items()
         )
 
     def log_changes(self) -> None:
         """Log and count the kinds that exceeded their maximum age, and those confirmed again."""
-        for kind in self._state.replicas:
+        for kind in self._replicas:
             outdated = self._is_outdated(kind)
             if outdated == (kind in self._outdated):
                 continue
@@ -141,7 +164,7 @@
             }
             if outdated:
                 self._outdated.add(kind)
-                self._state.metrics.count("knowledge_outdated_total", kind=kind.name)
+                self._metrics.count("knowledge_outdated_total", kind=kind.name)
                 _log.warning(Event.KNOWLEDGE_OUTDATED, **fields)
             else:
                 self._outdated.discard(kind)
@@ -149,7 +172,7 @@
 
     def _is_outdated(self, kind: ObjectKind) -> bool:
         """Return whether the objects of a kind are known, but not confirmed lately."""
-        return self._state.replicas[kind].revision is not None and self._exceeds_max_age(kind)
+        return self._replicas[kind].revision is not None and self._exceeds_max_age(kind)
 
     def _exceeds_max_age(self, kind: ObjectKind) -> bool:
         age = self.age(kind)
@@ -157,7 +180,7 @@
 
     def _deadline(self, kind: ObjectKind) -> timedelta:
         """Return the time in which a change of a kind has to be in force."""
-        deadlines = self._state.settings.deadlines
+        deadlines = self._deadlines()
         match kind:
             case ObjectKind.CONFIGURATION:
                 return deadlines.configuration
--- a/packages/gateway/src/carawayquay_gateway/limit_recorder.py
+++ b/packages/gateway/src/carawayquay_gateway/limit_recorder.py
@@ -12,10 +12,13 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-    from carawayquay.discovery import RegisteredTarget
+    from carawayquay.clock import Clock
+    from carawayquay.discovery import RegisteredTarget, TargetRegistry
+    from carawayquay.entry_peers import EntryPeers
     from carawayquay.forwarding import TargetAnswer
     from carawayquay.load_reports import DomainSummary, LoadReport, TargetLimitReport
-    from carawayquay_gateway.state import GatewayState
+    from carawayquay.target_limits import TargetLimits
+    from carawayquay_wire.metrics import Metrics
 
 __all__ = ["LimitRecorder"]
 
@@ -25,10 +28,26 @@
 
 
 class LimitRecorder:
-    """Applies what is said about the limits of targets to the state."""
-
-    def __init__(self, state: GatewayState) -> None:
-        self._state = state
+    """Applies what answers and reports say about the limits of targets.
+
+    :param domain: this VM's failure domain
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        clock: Clock,
+        metrics: Metrics,
+        peers: EntryPeers,
+        targets: TargetRegistry,
+        limits: TargetLimits,
+    ) -> None:
+        self._domain = domain
+        self._clock = clock
+        self._metrics = metrics
+        self._peers = peers
+        self._targets = targets
+        self._limits = limits
         self._unreadable: dict[str, str] = {}
 
     def record(self, target: RegisteredTarget, answer: TargetAnswer, sent_at: timedelta) -> None:
@@ -53,44 +72,42 @@
 
     def merge_report(self, report: LoadReport) -> None:
         """Apply the limits and the demand that a VM reports."""
-        state = self._state
         self._merge(report.limits or (), report.sender.name)
-        if report.sender.domain != state.identity.domain:
+        if report.sender.domain != self._domain:
             return
-        demand = state.target_limits.domain_demand
-        peer = state.peers.get(report.sender.name)
+        demand = self._limits.domain_demand
+        peer = self._peers.get(report.sender.name)
         if report.limits is None or report.leaving or peer is None:
             demand.forget(report.sender.name)
             return
         timeout = peer.timing.failure_timeout
-        demand.receive(report.sender.name, 1, report.limits, state.clock.now(), timeout)
+        demand.receive(report.sender.name, 1, report.limits, self._clock.now(), timeout)
 
     def merge_summary(self, summary: DomainSummary) -> None:
         """Apply the limits and the demand that a failure domain reports."""
-        state = self._state
         name = summary.sender.domain
         self._merge(summary.limits or (), name)
-        demand = state.target_limits.remote_demand
-        domain = state.peers.remote_domains.get(name)
+        demand = self._limits.remote_demand
+        domain = self._peers.remote_domains.get(name)
         if summary.limits is None or domain is None:
             demand.forget(name)
             return
         timeout = domain.timing.failure_timeout
-        demand.receive(name, summary.vms, summary.limits, state.clock.now(), timeout)
+        demand.receive(name, summary.vms, summary.limits, self._clock.now(), timeout)
 
     def forget(self, target: str) -> None:
         """Forget what could not be read of a removed target."""
         self._unreadable.pop(target, None)
 
     def _record(self, target: RegisteredTarget, rate: float | None, sent_at: timedelta) -> None:
-        now = self._state.clock.now()
-        change = self._state.target_limits.record(target, rate, sent_at, now)
+        now = self._clock.now()
+        change = self._limits.record(target, rate, sent_at, now)
         self._log_change(change, target=target.name, limit=rate, source="answer")
 
     def _merge(self, reports: tuple[TargetLimitReport, ...], source: str) -> None:
-        now = self._state.clock.now()
+        now = self._clock.now()
         for report in reports:
-            change = self._state.target_limits.merge(report, now)
+            change = self._limits.merge(report, now)
             if change is not None:
                 self._log_change(
                     change,
@@ -108,12 +125,12 @@
 
     def _target_name(self, key: int) -> str:
         """Return the name of the registered target that a report means, or else the hash."""
-        names = (target.name for target in self._state.targets if limit_key(target) == key)
+        names = (target.name for target in self._targets if limit_key(target) == key)
         return next(names, f"{key:08x}")
 
     def _report_unreadable(self, target: RegisteredTarget, text: str) -> None:
         """Count an unreadable limit, and log it unless the target's last one was the same."""
-        self._state.metrics.count("limits_not_understood_total", service=target.service)
+        self._metrics.count("limits_not_understood_total", service=target.service)
         if self._unreadable.get(target.name) == text:
             return
         self._unreadable[target.name] = text
--- a/packages/gateway/src/carawayquay_gateway/object_applier.py
+++ b/packages/gateway/src/carawayquay_gateway/object_applier.py
@@ -15,10 +15,16 @@
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
-    from carawayquay.discovery import RegisteredTarget, TargetChange
+    from collections.abc import Callable, Mapping
+
+    from carawayquay.clock import Clock
+    from carawayquay.discovery import RegisteredTarget, TargetChange, TargetRegistry
+    from carawayquay.evacuations import Evacuations
     from carawayquay.remarks import Remark
+    from carawayquay.routes import Configuration
     from carawayquay.store_revision import StoreRevision
-    from carawayquay_gateway.state import GatewayState
+    from carawayquay_gateway.store_history import StoreHistory
+    from carawayquay_wire.metrics import Metrics
 
 __all__ = ["ObjectApplier"]
 
@@ -44,10 +50,35 @@
 
 
 class ObjectApplier:
-    """Applies object changes to the state; an unreadable object leaves the last state in force."""
-
-    def __init__(self, state: GatewayState) -> None:
-        self._state = state
+    """Applies object changes; an unreadable object leaves what was in force before.
+
+    :param regions: returns the region of each failure domain
+    :param on_restart: called with the name of a target that registered as a new process
+    :param on_removal: called with the name of each target that was removed
+    :ivar configuration: the configuration in force, None if there is none
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        metrics: Metrics,
+        regions: Callable[[], Mapping[str, str]],
+        targets: TargetRegistry,
+        evacuated: Evacuations,
+        store_history: StoreHistory,
+        on_restart: Callable[[str], None],
+        on_removal: Callable[[str], None],
+    ) -> None:
+        self._clock = clock
+        self._metrics = metrics
+        self._regions = regions
+        self._targets = targets
+        self._evacuated = evacuated
+        self._store_history = store_history
+        self._on_restart = on_restart
+        self._on_removal = on_removal
+        self.configuration: Configuration | None = None
+        self._remarks: tuple[tuple[Remark, int], ...] = ()
         self._removals_due: dict[str, timedelta] = {}
         self._removed = RemovedTargets()
         self._withheld_until: dict[str, tuple[StoredObject, timedelta]] = {}
@@ -56,6 +87,11 @@
         self._lost: set[tuple[str, str]] = set()
         self._refused: dict[str, str] = {}
 
+    @property
+    def remarks(self) -> tuple[tuple[Remark, int], ...]:
+        """Problems in the configuration in force, each with its number of occurrences."""
+        return self._remarks
+
     @property
     def refused(self) -> dict[str, str]:
         """The reason why each unreadable object was refused, by name."""
@@ -101,7 +137,7 @@
 
     def expire_grace_periods(self) -> None:
         """Apply what the store holds where a grace period after an outage or restore is over."""
-        now = self._state.clock.now()
+        now = self._clock.now()
         for name in [name for name, until in self._removals_due.items() if now >= until]:
             del self._removals_due[name]
             self._remove_target(name)
@@ -109,7 +145,7 @@
             stored, _ = self._withheld_until.pop(name)
             self._removed.forget(name)
             self._put_target(stored)
-        ended, started = self._state.evacuated.pop_expired(now)
+        ended, started = self._evacuated.pop_expired(now)
         for domain in ended:
             self._lost.discard(("evacuation", domain))
             _log.info(Event.EVACUATION_ENDED, domain=domain, reason="not written again")
@@ -120,7 +156,7 @@
         """Put a configuration in force, unless it is invalid or older than the one in force."""
         if stored.name != CONFIGURATION_NAME:
             return
-        current = self._state.configuration
+        current = self.configuration
         try:
             draft = parse_configuration(stored.value)
             if (
@@ -144,8 +180,8 @@
             return
         configuration = build_configuration(draft, current)
         self._configuration_object = stored
-        self._state.configuration = configuration
-        self._state.remarks = draft.remarks
+        self.configuration = configuration
+        self._remarks = draft.remarks
         _log.info(
             Event.OBJECT_ADOPTED,
             kind="configuration",
@@ -168,7 +204,7 @@
                 times=times,
             )
         for remark, _ in remarks:
-            self._state.metrics.count("configuration_remarks_total", effect=remark.effect.value)
+            self._metrics.count("configuration_remarks_total", effect=remark.effect.value)
 
     def _refuse_object(self, kind: str, name: str, reason: str) -> None:
         """Count and log a refused object, unless it was refused for the same reason before."""
@@ -176,7 +212,7 @@
             return
         if len(self._refused) < _MAX_REFUSED:
             self._refused[name] = reason
-        self._state.metrics.count("objects_refused_total", kind=kind)
+        self._metrics.count("objects_refused_total", kind=kind)
         _log.warning(Event.OBJECT_REFUSED, kind=kind, name=name, reason=reason)
 
     def _put_target(self, stored: StoredObject) -> None:
@@ -184,18 +220,18 @@
         self._withheld_until.pop(stored.name, None)
         self._log_rewritten("target", stored)
         try:
-            target = parse_target(stored, self._state.settings.regions)
+            target = parse_target(stored, self._regions())
         except ObjectError as error:
             self._refuse_object("target", stored.name, str(error))
             return
         self._refused.pop(stored.name, None)
-        now = self._state.clock.now()
+        now = self._clock.now()
         if self._restored_recently() and self._removed.covers(target, now):
             self._withheld_until[target.name] = (stored, now + _RETURNED_OBJECT_HOLD)
             self._log_withheld("target", stored, "removed before the restore")
             return
         self._removed.forget(target.name)
-        change = self._state.targets.register(target, now)
+        change = self._targets.register(target, now)
         if change is None:
             self._outdated.add(target.name)
             self._log_withheld("target", stored, "older than the known registration")
@@ -208,8 +244,7 @@
     ) -> None:
         before = change.before
         if before is not None and before.incarnation != target.incarnation:
-            self._state.stats(target.name).restarted()
-            self._state.warm_objects.forget(target.name)
+            self._on_restart(target.name)
         if before is None or before.state is not target.state or target.cold_for:
             _log.info(
                 Event.TARGET_FOUND,
@@ -226,8 +261,8 @@
         self._refused.pop(name, None)
         self._withheld_until.pop(name, None)
         self._outdated.discard(name)
-        current = self._state.targets.get(name)
-        now = self._state.clock.now()
+        current = self._targets.get(name)
+        now = self._clock.now()
         held_until = self._held_until(name, now)
         if current is not None and current.state is TargetState.READY and held_until > now:
             self._removals_due.setdefault(name, held_until)
@@ -239,31 +274,28 @@
         grace_end = now + _REGISTRATION_GRACE
         if ("target", name) in self._lost:
             return grace_end
-        failed_at = self._state.store_failed_at
+        failed_at = self._store_history.failed_at
         return now if failed_at is None else min(grace_end, failed_at + _OUTAGE_WINDOW)
 
     def _restored_recently(self) -> bool:
         """Return whether objects may come from the copy that the store was restored from."""
-        restored_at = self._state.store_restored_at
-        return (
-            restored_at is not None
-            and self._state.clock.now() - restored_at < _RETURNED_OBJECT_HOLD
-        )
+        restored_at = self._store_history.restored_at
+        return restored_at is not None and self._clock.now() - restored_at < _RETURNED_OBJECT_HOLD
 
     def _remove_target(self, name: str) -> None:
         self._lost.discard(("target", name))
-        change = self._state.targets.remove(name)
+        change = self._targets.remove(name)
         if change is None:
             return
-        self._removed.record(change.before, self._state.clock.now())
+        self._removed.record(change.before, self._clock.now())
         _log.info(Event.TARGET_LOST, target=name, reason="removed")
-        self._state.forget_target(name)
+        self._on_removal(name)
 
     def _put_evacuation(self, stored: StoredObject) -> None:
         domain = stored.name
         self._log_rewritten("evacuation", stored)
-        is_new = domain not in self._state.evacuated
-        if not self._state.evacuated.start(domain, stored.revision, self._state.clock.now()):
+        is_new = domain not in self._evacuated
+        if not self._evacuated.start(domain, stored.revision, self._clock.now()):
             self._log_withheld("evacuation", stored, "ended before the restore")
         elif is_new:
             _log.info(Event.EVACUATION_STARTED, domain=domain, revision=stored.revision)
@@ -271,7 +303,7 @@
     def _delete_evacuation(self, name: str) -> None:
         if ("evacuation", name) in self._lost:
             return
-        if self._state.evacuated.end(name):
+        if self._evacuated.end(name):
             _log.info(Event.EVACUATION_ENDED, domain=name)
 
     def _note_lost_configuration(self, name: str) -> None:
@@ -282,12 +314,12 @@
 
     def _keep_lost_evacuation(self, name: str) -> None:
         self._note_lost("evacuation", name)
-        self._state.evacuated.keep_missing(name, self._state.clock.now())
+        self._evacuated.keep_missing(name, self._clock.now())
 
     def _note_lost(self, kind: str, name: str) -> None:
         """Log and count an object that a restored store lacks, and that may be written again."""
         self._lost.add((kind, name))
-        self._state.metrics.count("objects_lost_total", kind=kind)
+        self._metrics.count("objects_lost_total", kind=kind)
         _log.warning(Event.OBJECT_KEPT, kind=kind, name=name, reason="the restored store lacks it")
 
     def _log_rewritten(self, kind: str, stored: StoredObject) -> None:
@@ -295,12 +327,12 @@
         if (kind, stored.name) not in self._lost:
             return
         self._lost.discard((kind, stored.name))
-        self._state.metrics.count("objects_rewritten_total", kind=kind)
+        self._metrics.count("objects_rewritten_total", kind=kind)
         _log.info(Event.OBJECT_REWRITTEN, kind=kind, name=stored.name, revision=stored.revision)
 
     def _log_withheld(self, kind: str, stored: StoredObject, reason: str) -> None:
         """Log and count an object that a restored store brings back and that is not used."""
-        self._state.metrics.count("objects_withheld_total", kind=kind)
+        self._metrics.count("objects_withheld_total", kind=kind)
         _log.warning(
             Event.OBJECT_WITHHELD,
             kind=kind,
--- a/packages/gateway/src/carawayquay_gateway/registrar.py
+++ b/packages/gateway/src/carawayquay_gateway/registrar.py
@@ -97,10 +97,10 @@
     async def _wait_for_restore(self) -> bool:
         """Wait for the stale time, or for less if the store is restored; return whether it was."""
         async with curio.ignore_after(self._stale_seconds):
-            while self._state.store_era <= self._checked_era:
+            while self._state.store_history.era <= self._checked_era:
                 await self._state.ticker.next()
             await curio.sleep(self._settle_seconds)
-            self._checked_era = self._state.store_era
+            self._checked_era = self._state.store_history.era
             return True
         return False
 
--- a/packages/gateway/src/carawayquay_gateway/replica_puller.py
+++ b/packages/gateway/src/carawayquay_gateway/replica_puller.py
@@ -104,12 +104,12 @@
                 self._apply_pulled(changes)
                 return
         listing = await peer.list(kind)
-        self._state.note_store_era(listing.revision.era)
+        self._state.store_history.note_era(listing.revision.era)
         self.apply_listing(listing, from_peer=True)
 
     def _apply_pulled(self, changes: ObjectChanges) -> None:
         """Apply the changes from another VM if they are ahead of the replica."""
-        self._state.note_store_era(changes.revision.era)
+        self._state.store_history.note_era(changes.revision.era)
         if changes.revision > self._replica.revision:
             self._replica.apply_changes(changes)
 
--- a/packages/gateway/src/carawayquay_gateway/replicas.py
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -12,12 +12,12 @@
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from carawayquay_platform.object_changes import ObjectListing
     from carawayquay_platform.objects import ObjectKind, StoredObject
 
-__all__ = ["ObjectHandler", "Replica"]
+__all__ = ["ObjectHandler", "Replica", "latest_era"]
 
 _log = EventLog("replicas")
 
@@ -259,3 +259,8 @@
         and stored.value == known.value
         and stored.deletion_pending == known.deletion_pending
     )
+
+
+def latest_era(replicas: Iterable[Replica]) -> int:
+    """Return the latest era of the store that any replica has reached."""
+    return max(replica.change_revision.era for replica in replicas)
--- a/packages/gateway/src/carawayquay_gateway/state.py
+++ b/packages/gateway/src/carawayquay_gateway/state.py
@@ -25,7 +25,9 @@
 from carawayquay_gateway.limit_recorder import LimitRecorder
 from carawayquay_gateway.object_applier import ObjectApplier
 from carawayquay_gateway.region_loads import RegionLoads
+from carawayquay_gateway.replicas import latest_era
 from carawayquay_gateway.service_state import ServiceState
+from carawayquay_gateway.store_history import StoreHistory
 from carawayquay_gateway.ticker import Ticker
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_wire.events import Event, EventLog
@@ -37,7 +39,6 @@
     from carawayquay.discovery import RegisteredTarget
     from carawayquay.load_reports import VMIdentity, WarmObject
     from carawayquay.planned_stop import PlannedStop
-    from carawayquay.remarks import Remark
     from carawayquay.routes import Configuration
     from carawayquay.target_limits import LimitReached, TargetLimit
     from carawayquay_gateway.settings import GatewaySettings
@@ -82,9 +83,6 @@
         self._told_changes: object = None
         #: Whether the last store call succeeded, for each kind that this VM itself watches.
         self.store_answered: dict[ObjectKind, bool] = {}
-        self.configuration: Configuration | None = None
-        #: Problems in the configuration in force, each with its number of occurrences.
-        self.remarks: tuple[tuple[Remark, int], ...] = ()
         self.targets = TargetRegistry()
         self.evacuated = Evacuations()
         self.peers = EntryPeers(identity)
@@ -98,24 +96,49 @@
         self._stats: dict[str, TargetStats] = {}
         self._names: dict[int, str] = {}
         self._names_revision = -1
-        self._region_loads = RegionLoads(self)
+        self._region_loads = RegionLoads(
+            self.peers,
+            self.targets,
+            self.evacuated,
+            self.target_limits,
+            self.service,
+            self.in_flight_at,
+        )
         self._prune_at = timedelta()
         self._updated_at: timedelta | None = None
         self._started_at = clock.now()
         #: Number of pauses of this VM, after each of which its replicas may be stale.
         self.pause_count = 0
-        #: When the last call began that failed because the store was away for this VM.
-        self.store_failed_at: timedelta | None = None
-        #: The highest era of the store that this VM has heard of, 0 if none.
-        self.store_era = 0
-        #: When this VM heard of the last restore of the store.
-        self.store_restored_at: timedelta | None = None
+        self.store_history = StoreHistory(clock, metrics)
         #: Whether a caller was refused because this VM had no configuration yet.
         self.refused_unconfigured = False
-        self.limit_recorder = LimitRecorder(self)
-        self.object_applier = ObjectApplier(self)
+        self.limit_recorder = LimitRecorder(
+            identity.domain, clock, metrics, self.peers, self.targets, self.target_limits
+        )
+        self.object_applier = ObjectApplier(
+            clock,
+            metrics,
+            lambda: self.settings.regions,
+            self.targets,
+            self.evacuated,
+            self.store_history,
+            self._handle_restart,
+            self.forget_target,
+        )
         self.replicas = self.object_applier.new_replicas()
-        self.knowledge = StoreKnowledge(self)
+        self.knowledge = StoreKnowledge(
+            identity.domain,
+            clock,
+            metrics,
+            self.peers,
+            self.replicas,
+            lambda: self.settings.deadlines,
+        )
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, None if there is none."""
+        return self.object_applier.configuration
 
     @property
     def ready(self) -> bool:
@@ -132,21 +155,10 @@
         answered = self.store_answered.values()
         return len(answered) == len(self.replicas) and all(answered) and self.knowledge.current
 
-    def note_store_era(self, era: int) -> None:
-        """Record the era that the store named; a higher one than before tells of a restore."""
-        if era <= self.store_era:
-            return
-        if self.store_era:
-            self.store_restored_at = self.clock.now()
-            self.metrics.count("store_restores_total")
-            _log.warning(Event.STORE_RESTORED, era=era, previous=self.store_era)
-        self.store_era = era
-
     @property
     def replica_era(self) -> int:
         """The latest era of the store that any of this VM's replicas has reached."""
-        revisions = (replica.change_revision for replica in self.replicas.values())
-        return max(revision.era for revision in revisions)
+        return latest_era(self.replicas.values())
 
     def reported_revisions(self) -> tuple[int, ...]:
         """Return the number of each replica's last change, 0 for those of an earlier era."""
@@ -257,6 +269,11 @@
             self.metrics.count("requests_limited_total", service=target.service)
         return reached
 
+    def _handle_restart(self, target: str) -> None:
+        """Forget what is known of the former process of a target."""
+        self.stats(target).restarted()
+        self.warm_objects.forget(target)
+
     def forget_target(self, name: str) -> None:
         """Forget a removed target, except its statistics while requests are in flight."""
         self.cold_rates.forget(name)
@@ -278,7 +295,8 @@
             self._prune_at = now + _PRUNE_INTERVAL
             self._prune_removed_targets()
             self.target_limits.expire(now)
-        self._region_loads.update(now)
+        if self.configuration is not None:
+            self._region_loads.update(self.configuration, self.settings, now)
 
     def _detect_pause(self, now: timedelta) -> None:
         """Count a pause, if this VM was stopped or suspended since the last update."""
--- a/packages/gateway/src/carawayquay_gateway/state_dump.py
+++ b/packages/gateway/src/carawayquay_gateway/state_dump.py
@@ -25,7 +25,7 @@
         "stopping": state.stopping,
         **({"cut_off": True} if state.reach.cut_off else {}),
         "configuration": state.configuration.version if state.configuration else None,
-        "remarks": {str(remark): times for remark, times in state.remarks},
+        "remarks": {str(remark): times for remark, times in state.object_applier.remarks},
         "refused_objects": state.object_applier.refused,
         "refused_settings": list(state.settings.problems),
         "revisions": {
@@ -59,13 +59,17 @@
 
 def _dump_eras(state: GatewayState) -> dict[str, Any]:
     """Return the store's era and that of each replica, nothing if the store names none."""
-    if not state.store_era:
+    if not state.store_history.era:
         return {}
     eras = {
         kind.name: None if replica.revision is None else replica.revision.era
         for kind, replica in state.replicas.items()
     }
-    return {"store_era": state.store_era, "eras": eras, **state.object_applier.dump_restore()}
+    return {
+        "store_era": state.store_history.era,
+        "eras": eras,
+        **state.object_applier.dump_restore(),
+    }
 
 
 def _dump_target(state: GatewayState, target: RegisteredTarget, now: timedelta) -> dict[str, Any]:
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -338,8 +338,7 @@
         """
         if not self._last_call_failed and not isinstance(failure.error, StoreUnreachableError):
             return
-        before = self._state.store_failed_at
-        self._state.store_failed_at = max(failure.called_at, before or failure.called_at)
+        self._state.store_history.note_failure(failure.called_at)
 
     def _record_success(self) -> None:
         """Record that the store answered, and log it if it did not before."""
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -53,7 +53,7 @@
     answer, _, state = run(_answers, [[answer_bytes()]], request(path="/other/"))
     assert answer.status == 404
     forwarder, state = new_forwarder([])
-    state.configuration = None
+    state.object_applier.configuration = None
     assert run(forwarder.handle, request(path="/other/")).status == 503
 
 
--- a/packages/gateway/tests/test_object_applier.py
+++ b/packages/gateway/tests/test_object_applier.py
@@ -32,7 +32,7 @@
 
 def test_target_that_expired_in_an_outage_is_used_until_it_registers_again():
     state, clock = _state()
-    state.store_failed_at = clock.now()
+    state.store_history.failed_at = clock.now()
     clock.advance(timedelta(seconds=1))
     _list(state, 30)
     assert state.targets.ready("granite")
@@ -45,7 +45,7 @@
 
 def test_target_missing_two_seconds_after_an_outage_is_removed():
     state, clock = _state()
-    state.store_failed_at = clock.now()
+    state.store_history.failed_at = clock.now()
     _list(state, 30)
     clock.advance(timedelta(seconds=1.9))
     state.update(clock.now())
@@ -58,7 +58,7 @@
 @pytest.mark.parametrize("seconds", [2.0, 2.5, 2.7])
 def test_target_that_leaves_after_an_outage_is_held_until_all_could_have_registered(seconds):
     state, clock = _state()
-    state.store_failed_at = clock.now()
+    state.store_history.failed_at = clock.now()
     clock.advance(timedelta(seconds=seconds))
     _list(state, 30)
     assert state.targets.get("t1") is not None
@@ -72,7 +72,7 @@
     contact, tick = timedelta(seconds=3), timedelta(seconds=0.2)
     state, clock = _state()
     # The last call that failed began just before the cut ended.
-    state.store_failed_at = clock.now()
+    state.store_history.failed_at = clock.now()
     clock.advance(timedelta(seconds=1.8))
     _list(state, 30)
     clock.advance(contact - tick - timedelta(seconds=1.8))
@@ -82,7 +82,7 @@
 
 def test_drained_target_is_removed_at_once_even_after_an_outage():
     state, clock = _state(state="draining")
-    state.store_failed_at = clock.now()
+    state.store_history.failed_at = clock.now()
     _list(state, 30)
     assert state.targets.get("t1") is None
 
--- a/packages/gateway/tests/test_restored_entries.py
+++ b/packages/gateway/tests/test_restored_entries.py
@@ -30,7 +30,7 @@
     client = PlatformStoreClient(
         Address("127.0.0.1", sock.getsockname()[1]),
         timedelta(milliseconds=300),
-        observe_era=state.note_store_era,
+        observe_era=state.store_history.note_era,
     )
     registrar = VMRegistrar(
         state, client, random.Random(1), discovery_seconds=0.05, settle_seconds=0.1
@@ -58,7 +58,7 @@
         await store.put(KIND, peer.name, entry_vm_spec(peer))
         state, _, _ = await _registered(store, peer)
         await store.restore(copy)
-        state.note_store_era(store.era)
+        state.store_history.note_era(store.era)
         for vm in (state.identity, peer):
             while (store.object(KIND, vm.name) or {}).get("spec") != entry_vm_spec(vm):
                 await curio.sleep(0.02)
