Let VMs that start together discover each other before they list the store

Cause: a VM that knows no other one of its domain lists the store after 0.5 s. VMs that start together hear of each other by way of a seed within four ticks, so nearly each of them listed all kinds.

Change: the delay is 0.9 s. A VM that refuses callers for lack of a configuration lists at once, as before.

Evidence: test_vms_that_start_together_list_the_store_once_for_their_domain fails on (12 lists in place of 3).

--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -42,7 +42,7 @@
 
 #: Delay from the start until a VM lists the store itself instead of pulling from a neighbour:
 #: short for the first VM of a domain, which only has to discover its peers, longer for the others.
-_FIRST_VM_LIST_DELAY = timedelta(seconds=0.5)
+_FIRST_VM_LIST_DELAY = timedelta(seconds=0.9)
 _OTHER_VMS_LIST_DELAY = timedelta(seconds=3)
 _NEIGHBOUR_POLL_SECONDS = 0.1
 
--- a/packages/gateway/tests/gateway_domain.py
+++ b/packages/gateway/tests/gateway_domain.py
@@ -21,11 +21,12 @@
 _REPORT_INTERVAL_SECONDS = 0.05
 
 
-async def linked_domain(count, *, report_as_gateways=False):
+async def linked_domain(count, *, report_as_gateways=False, first_report_seconds=0.0):
     """Return the states of VMs that are connected by load reports and by their admin interfaces.
 
     :param report_as_gateways: whether reports come as seldom as between that many gateways, and
         at once where a VM knows of changes, instead of in a fixed short interval
+    :param first_report_seconds: time until the first report, by which VMs discover each other
     """
     states = [
         GatewayState(
@@ -46,7 +47,15 @@
         state.settings = attrs.evolve(state.settings, admin=Address("127.0.0.1", port))
     sequence = itertools.count(1)
     if not report_as_gateways:
-        await curio.spawn(_report_forever, states, sequence, _REPORT_INTERVAL_SECONDS, daemon=True)
+        await curio.spawn(
+            _report_forever,
+            states,
+            sequence,
+            _REPORT_INTERVAL_SECONDS,
+            states,
+            first_report_seconds,
+            daemon=True,
+        )
         return states
     interval = report_timing(Distance.DOMAIN, count - 1).interval.total_seconds()
     for state in states:
@@ -56,11 +65,12 @@
     return states
 
 
-async def _report_forever(senders, sequence, interval_seconds, receivers=None):
+async def _report_forever(senders, sequence, interval_seconds, receivers, delay_seconds=0.0):
     """Let VMs report to all others in an interval, until cancelled."""
+    await curio.sleep(delay_seconds)
     while True:
         for sender in senders:
-            await _report(sender, receivers or senders, next(sequence))
+            await _report(sender, receivers, next(sequence))
         await curio.sleep(interval_seconds)
 
 
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -25,6 +25,9 @@
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.metrics import Metrics
 
+#: Time in which VMs that start together hear of each other by way of a seed, four ticks at most.
+_DISCOVERY_SECONDS = 0.8
+
 _CONTACT_SECONDS = settings().deadlines.contact.total_seconds()
 
 KINDS = (ObjectKind.CONFIGURATION, ObjectKind.TARGETS, ObjectKind.EVACUATIONS)
@@ -365,3 +368,24 @@
         assert len(callers) == 1
 
     run(check)
+
+
+def test_vms_that_start_together_list_the_store_once_for_their_domain():
+    """Guards against a listing by each VM, before those of its domain could discover each other."""
+
+    async def check():
+        store = await _filled()
+        address = await _listen(store.http)
+        # A seed answers at its first tick, and the first reports go out at the next ones.
+        states = await linked_domain(4, first_report_seconds=_DISCOVERY_SECONDS)
+        for state in states:
+            client = PlatformStoreClient(address, timedelta(seconds=1))
+            for kind in KINDS:
+                watcher = Watcher(state, client, state.replicas[kind], random.Random(1))
+                await curio.spawn(watcher.run, daemon=True)
+            await curio.spawn(update_forever, state, daemon=True)
+        await until(lambda: all(state.ready for state in states))
+        lists = [call for call in store.calls if "?" not in call]
+        assert sorted(lists) == sorted(f"GET /objects/{kind.value}" for kind in KINDS)
+
+    run(check)
