End the tasks that a test leaves before its event loop ends

Cause: the event loop ends the newest tasks first, so that a watcher whose connection was ended opens another one, for which the listener, which is older, spawns a task.

Change: the shared run() of the gateway's tests ends the tasks that are left, the oldest first. No check is changed.

--- a/packages/gateway/tests/gateway_builders.py
+++ b/packages/gateway/tests/gateway_builders.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-from datetime import timedelta
 
 import curio
 from curio.network import run_server, tcp_server_socket
+from curio.traps import _get_kernel
 
 from carawayquay.clock import ManualClock, MonotonicClock
 from carawayquay.crash_counts import CrashCounts
@@ -29,6 +29,8 @@
 from carawayquay_wire.http import HttpRequest
 from carawayquay_wire.metrics import Metrics
 
+_RUN_SECONDS = 10
+
 SETTINGS_TEXT = """
 [vm]
 name = puget-a-1
@@ -238,9 +240,28 @@
 
 
 def run(coroutine, *args):
-    """Run a coroutine function in a new event loop, with a timeout of ten seconds."""
+    """Run a coroutine function in a new event loop, with a timeout of ten seconds.
+
+    The tasks that it leaves end before the event loop does.
+    """
 
     async def bounded():
-        return await curio.timeout_after(timedelta(seconds=10).total_seconds(), coroutine, *args)
+        try:
+            return await curio.timeout_after(_RUN_SECONDS, coroutine, *args)
+        finally:
+            await _end_other_tasks()
 
     return curio.run(bounded)
+
+
+async def _end_other_tasks():
+    """End all other tasks, the oldest first: listeners before those that open connections."""
+    current = await curio.current_task()
+    while others := [task for task in await _running_tasks() if task is not current]:
+        for task in sorted(others, key=lambda task: task.id):
+            await task.cancel()
+
+
+async def _running_tasks():
+    kernel = await _get_kernel()
+    return [task for task in kernel._tasks.values() if not task.terminated]
