--- a/review/common-2/stands.py
+++ b/review/common-2/stands.py
@@ -438,8 +438,13 @@
             "CARAWAYQUAY_NODE_FILE": str(self._path),
         }
 
+        hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+        limit = LIMITS["max_fds"]
+        if hard_limit != resource.RLIM_INFINITY:
+            limit = min(limit, hard_limit)
+
         def bound_descriptors():
-            resource.setrlimit(resource.RLIMIT_NOFILE, (LIMITS["max_fds"], LIMITS["max_fds"]))
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
 
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
@@ -636,6 +641,6 @@
 
     try:
         return 0 if asyncio.run(run()) else 1
-    except (CannotRunError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"cannot run: {error!r}")
         return 2
