--- a/review/6/case.py
+++ b/review/6/case.py
@@ -134,6 +134,7 @@
         self._at = hash(name) % len(gateways)
         self._count = 0
         self._connection = None
+        self._kept = False
 
     async def run(self, until):
         while time.monotonic() < until:
@@ -148,6 +149,7 @@
         gateway = self._gateways[self._at]
         try:
             if self._connection is None:
+                self._kept = False
                 async with asyncio.timeout(1.0):
                     self._connection = await asyncio.open_connection(
                         gateway.host, gateway.ports["front"]
@@ -175,10 +177,12 @@
             self._record.note(f"client gives up {request_id} at its deadline")
             return False
         except (OSError, asyncio.IncompleteReadError):
-            self._results["cut"].append(request_id)
+            # The rule is about requests from kept connections.
+            self._results["cut" if self._kept else "cut at first"].append(request_id)
             self._record.note(f"the connection of {request_id} ends without an answer")
             return False
         status = int(head[0].split(" ")[1])
+        self._kept = True
         self._results["answered"].append((request_id, status))
         self._record.note(f"client gets {status} for {request_id}")
         return status == 200 and head[1].get("connection", "").lower() != "close"
@@ -205,7 +209,7 @@
     await operator.write()
     await stage.start_gateways(["wien-a", "graz-a"])
     platform = Platform(stage.record, stage.gateways)
-    results = {"cut": [], "answered": []}
+    results = {"cut": [], "cut at first": [], "answered": []}
     until = time.monotonic() + SECONDS
     tasks = [asyncio.create_task(platform.run(until))]
     for number in range(CLIENTS):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -16,7 +16,7 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common-2"))
 
-from stands import Instance, configuration, play, route  # noqa: E402
+from stands import GRACE_SECONDS, Instance, configuration, play, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE") != "0"
 
@@ -111,6 +111,7 @@
     def __init__(self, name, record, links, results):
         self._name, self._record, self._links, self._results = name, record, links, results
         self._count = 0
+        self._sent = {}
 
     async def run(self, until):
         while time.monotonic() < until:
@@ -129,7 +130,7 @@
         state = {"closing": False}
         sending = asyncio.create_task(self._send_requests(sock, waiting, state, until))
         try:
-            await self._read_answers(sock, waiting, state, sending)
+            await self._read_answers(sock, link, waiting, state, sending)
         finally:
             sending.cancel()
             sock.close()
@@ -141,6 +142,7 @@
                 self._count += 1
                 request_id = f"{self._name}-{self._count}"
                 waiting.append(request_id)
+                self._sent[request_id] = time.monotonic()
                 self._record.note(f"client sends {request_id}")
                 text = (
                     f"GET /hucu512/{self._count} HTTP/1.1\r\nHost: {HOST}\r\n"
@@ -150,7 +152,11 @@
             await asyncio.sleep(GAP_SECONDS * random.uniform(0.5, 1.5))
         state["closing"] = True
 
-    async def _read_answers(self, sock, waiting, state, sending):
+    def _cut(self, request_id, link):
+        """Note a request whose connection ended, with when it was sent and when it ended."""
+        self._results.cut.append((request_id, link, self._sent[request_id], time.monotonic()))
+
+    async def _read_answers(self, sock, link, waiting, state, sending):
         """Read answers in the order of the requests, until the connection or the day ends."""
         buffer = bytearray()
         while not (state["closing"] and not waiting):
@@ -161,6 +167,8 @@
             if not head:
                 # What stands behind a closing answer, or was never read, counts as not read.
                 self._results.ended_before_head.extend(waiting)
+                for request_id in waiting:
+                    self._cut(request_id, link)
                 return
             end = buffer.find(b"\r\n\r\n") + 4
             lines = bytes(buffer[:end]).decode("latin-1").split("\r\n")
@@ -181,7 +189,7 @@
                     f"client gets {status} for {request_id}, of which {len(buffer)} of {length} "
                     f"bytes arrive before the connection ends"
                 )
-                self._results.cut.append(request_id)
+                self._cut(request_id, link)
                 return
             del buffer[:length]
             self._results.answered.append(request_id)
@@ -207,11 +215,12 @@
         self.answered, self.cut, self.not_read, self.ended_before_head = [], [], [], []
 
 
-async def stop_in_turn(stage, links):
+async def stop_in_turn(stage, links, stopped_at):
     """Stop each VM and start it again; callers learn from the directory not to use it meanwhile."""
     for gateway, link in zip(stage.gateways, list(links), strict=True):
         stage.record.note(f"the platform sends SIGTERM to {gateway.name}")
         links.remove(link)
+        stopped_at[link] = time.monotonic()
         await gateway.term()
         stage.record.note(f"{gateway.name} has ended")
         gateway.start()
@@ -247,15 +256,23 @@
         asyncio.create_task(link.run())
         links.append(link)
     results = Results()
+    stopped_at = {}
     until = time.monotonic() + SECONDS
     clients = [Client(f"c{n}", stage.record, links, results) for n in range(CLIENTS)]
     running = [asyncio.create_task(client.run(until)) for client in clients]
     await asyncio.sleep(STOP_AT)
     if TROUBLE:
-        await stop_in_turn(stage, links)
+        await stop_in_turn(stage, links, stopped_at)
     await asyncio.gather(*running)
     ran = {request_id for instance in instances for request_id in instance.ran}
-    lost = [it for it in (*results.cut, *results.ended_before_head) if it in ran]
+    lost = [
+        request_id
+        for request_id, link, sent, ended in results.cut
+        if request_id in ran
+        and link in stopped_at
+        and stopped_at[link] <= ended <= stopped_at[link] + GRACE_SECONDS + 1.0
+        and ended - sent < DEADLINE_MS / 1000
+    ]
     summary = (
         f"answered whole {len(results.answered)}, sent behind a closing answer "
         f"{len(results.not_read)}, not read {len(results.ended_before_head)}, "
