Count a target's crash once for all equal requests, and clear it at all VMs

Cause: each call that broke counted as a crash, and VMs told each other only a number, of which the highest was kept. So one crash counted once for each request that the target ran, and a completion at one VM was undone by the next report of another.

Change: a crash is told apart by the target's name and start, and has the times at which the call began and broke. Crashes count in a row, so that targets that end together count as one. Reports carry the crashes with ages, and the last completion, which clears what was before it at all VMs. Suspects go to targets that run no other suspect, where there is room. The count for VMs of the build before is the number of crashes in a row; a count of theirs proves one crash.

test_reports and test_recorded_data follow the schema: the former recorded reports became those of an earlier build and are read and written as before.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -1,4 +1,4 @@
-"""Counts target crashes by request fingerprint, over all entry VMs."""
+"""Counts the target crashes that equal requests may have caused, over all entry VMs."""
 
 from __future__ import annotations
 
@@ -8,30 +8,34 @@
 
 import attrs
 
-from carawayquay.load_reports import CrashReport
+from carawayquay.load_reports import CrashReport, ReportedCrash, SuspectReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from carawayquay.forwarding import CallerRequest
 
-__all__ = ["CrashCounts", "request_fingerprint"]
+__all__ = ["CrashCounts", "TargetCrash", "request_fingerprint"]
 
-#: Consecutive crashes after which requests with the same fingerprint are refused.
-_MAX_CRASHES = 3
+#: Crashes in a row after which requests with the same fingerprint are refused.
+_MAX_ROW = 3
 
-#: Time since the last crash after which a count expires.
+#: Time since a crash after which it is not counted any more.
 _LIFETIME = timedelta(seconds=120)
 
+#: Assumed time from a crash until a VM of a version that reports no times has told of it.
+_UNTIMED_REPORT_AGE = timedelta(seconds=10)
+
+#: Stands for the target in a crash that was reported without one.
+_UNKNOWN_TARGET = 0
+
+#: Crashes that are kept of requests with one fingerprint, also those that count as one.
+_MAX_CRASHES_KEPT = 16
+
 _MAX_ENTRIES = 1024
 _MAX_REPORTED = 16
 _FINGERPRINT_BYTES = 8
-
-
-@attrs.define
-class _Entry:
-    crashes: int
-    expires_at: timedelta
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 def request_fingerprint(call: CallerRequest) -> int:
@@ -44,11 +48,63 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+@attrs.frozen
+class TargetCrash:
+    """A crash of a target while it held a request.
+
+    :param target: hash of the target's name and incarnation, which can crash only once
+    :param began_at: when the request was sent to the target
+    :param ended_at: when its connection broke
+    """
+
+    target: int
+    began_at: timedelta
+    ended_at: timedelta
+
+
+@attrs.define
+class _Entry:
+    """What is known of the requests with one fingerprint.
+
+    :param crashes: the latest crashes since then, one for each target
+    :param row: those of them that count, each of which began after the end of the one before
+    :param completed_at: when such a request completed last, if that was noticed
+    :param known_count: the highest count that any VM may have from these crashes
+    """
+
+    expires_at: timedelta
+    crashes: tuple[TargetCrash, ...] = ()
+    row: tuple[TargetCrash, ...] = ()
+    completed_at: timedelta | None = None
+    known_count: int = 0
+
+    def add_crash(self, crash: TargetCrash) -> None:
+        """Add a crash, unless such a request has completed since."""
+        if self.completed_at is not None and crash.ended_at <= self.completed_at:
+            return
+        self._set_crashes(_first_for_each_target([*self.crashes, crash])[-_MAX_CRASHES_KEPT:])
+        self.known_count = max(self.known_count, len(self.row))
+        self.expires_at = max(self.expires_at, crash.ended_at + _LIFETIME)
+
+    def add_completion(self, completed_at: timedelta) -> None:
+        """Drop the crashes before a completed request."""
+        if self.completed_at is None or completed_at > self.completed_at:
+            self.completed_at = completed_at
+            self._set_crashes([it for it in self.crashes if it.ended_at > completed_at])
+
+    def _set_crashes(self, crashes: list[TargetCrash]) -> None:
+        self.crashes = tuple(crashes)
+        self.row = _in_a_row(crashes)
+
+
 class CrashCounts:
     """Counts of crashes, by the fingerprint of the request that the target was running.
 
-    A request that completes resets its count: requests with the same fingerprint usually complete
-    unless they cause the crashes.
+    A request may be running on a target for no fault of its own when the target crashes. Three
+    things tell it from one that causes crashes. A crash counts once, however many equal requests
+    ran there and however many VMs saw it. Crashes of targets that end together count as one, since
+    none of these requests was sent after another had failed: only one that was sent later counts
+    anew. And a request that completes, at any VM, clears the crashes before it.
     """
 
     def __init__(self) -> None:
@@ -56,55 +112,152 @@
 
     def refused(self, fingerprint: int, now: timedelta) -> bool:
         """Return whether requests with a fingerprint are refused for crashing too many targets."""
-        entry = self._entries.get(fingerprint)
-        return entry is not None and now < entry.expires_at and entry.crashes >= _MAX_CRASHES
+        return self.count(fingerprint, now) >= _MAX_ROW
 
     def is_suspect(self, fingerprint: int, now: timedelta) -> bool:
-        """Return whether a fingerprint has a count that has not expired."""
+        """Return whether a request with a fingerprint may have crashed a target."""
+        return self.count(fingerprint, now) > 0
+
+    def count(self, fingerprint: int, now: timedelta) -> int:
+        """Return the number of crashes in a row that requests with a fingerprint may have caused.
+
+        It does not grow beyond the number for which they are refused.
+        """
         entry = self._entries.get(fingerprint)
-        return entry is not None and now < entry.expires_at
+        return len(entry.row) if entry is not None and now < entry.expires_at else 0
 
-    def record_crash(self, fingerprint: int, now: timedelta) -> int:
-        """Count a crash; return the new count, or 0 if the table is full."""
+    def record_crash(self, fingerprint: int, crash: TargetCrash, now: timedelta) -> int:
+        """Record a crash, and return the count; return 0 if the table is full."""
         entry = self._entry(fingerprint, now)
         if entry is None:
             return 0
-        entry.crashes += 1
-        entry.expires_at = now + _LIFETIME
-        return entry.crashes
-
-    def record_completion(self, fingerprint: int) -> None:
-        """Reset the count of a request that completed."""
-        self._entries.pop(fingerprint, None)
-
-    def merge(self, reports: Iterable[CrashReport], now: timedelta) -> None:
-        """Merge the counts of another VM, keeping the higher ones."""
-        for report in reports:
-            entry = self._entry(report.fingerprint, now)
-            if entry is not None and report.crashes > entry.crashes:
-                entry.crashes = report.crashes
-                entry.expires_at = now + _LIFETIME
+        entry.add_crash(crash)
+        return len(entry.row)
+
+    def record_completion(self, fingerprint: int, now: timedelta) -> None:
+        """Clear the crashes before a request that completed."""
+        entry = self._entries.get(fingerprint)
+        if entry is not None:
+            entry.add_completion(now)
+
+    def merge(
+        self, crashes: Iterable[CrashReport], suspects: Iterable[SuspectReport], now: timedelta
+    ) -> None:
+        """Merge what another VM reports.
+
+        :param crashes: its counts, which are used for what ``suspects`` lacks
+        :param suspects: the crashes and completions, empty if its version does not report them
+        """
+        timed = set()
+        for report in suspects:
+            timed.add(report.fingerprint)
+            self._merge_suspect(report, now)
+        for count in crashes:
+            if count.fingerprint not in timed:
+                self._merge_count(count, now)
+
+    def _merge_suspect(self, report: SuspectReport, now: timedelta) -> None:
+        entry = self._entry(report.fingerprint, now)
+        if entry is None:
+            return
+        if report.completed_ms is not None:
+            entry.add_completion(now - report.completed_ms * _MILLISECOND)
+        for crash in report.crashes:
+            if crash.ended_ms * _MILLISECOND < _LIFETIME:
+                entry.add_crash(_read_crash(crash, now))
+
+    def _merge_count(self, report: CrashReport, now: timedelta) -> None:
+        """Add a crash if another VM's count, without times, is higher than what is known."""
+        entry = self._entry(report.fingerprint, now)
+        if entry is not None and report.crashes > entry.known_count:
+            entry.known_count = report.crashes
+            entry.add_crash(_untimed_crash(now))
 
     def reports(self, now: timedelta) -> tuple[CrashReport, ...]:
-        """Return the most recent counts, to be sent to other VMs."""
-        self._expire(now)
-        latest = sorted(self._entries.items(), key=lambda item: item[1].expires_at, reverse=True)
+        """Return the most recent counts, for VMs of versions that know no suspects."""
+        return tuple(
+            CrashReport(fingerprint, len(entry.row))
+            for fingerprint, entry in self._latest(now)
+            if entry.row
+        )
+
+    def suspect_reports(self, now: timedelta) -> tuple[SuspectReport, ...]:
+        """Return what other VMs are told: the latest crashes first, then the cleared ones."""
         return tuple(
-            CrashReport(fingerprint, entry.crashes)
-            for fingerprint, entry in latest[:_MAX_REPORTED]
-            if entry.crashes > 0
+            _suspect_report(fingerprint, entry, now)
+            for fingerprint, entry in self._latest(now)
+            if entry.row or entry.completed_at is not None
         )
 
+    def _latest(self, now: timedelta) -> list[tuple[int, _Entry]]:
+        """Return the entries to report: with crashes before cleared ones, the latest first."""
+        self._expire(now)
+
+        def rank(item: tuple[int, _Entry]) -> tuple[bool, timedelta]:
+            return bool(item[1].row), item[1].expires_at
+
+        return sorted(self._entries.items(), key=rank, reverse=True)[:_MAX_REPORTED]
+
     def _entry(self, fingerprint: int, now: timedelta) -> _Entry | None:
         entry = self._entries.get(fingerprint)
-        if entry is None:
+        if entry is None or now >= entry.expires_at:
             self._expire(now)
             if len(self._entries) >= _MAX_ENTRIES:
                 return None
-            entry = self._entries[fingerprint] = _Entry(0, now + _LIFETIME)
+            entry = self._entries[fingerprint] = _Entry(now + _LIFETIME)
         return entry
 
     def _expire(self, now: timedelta) -> None:
         expired = [key for key, entry in self._entries.items() if now >= entry.expires_at]
         for key in expired:
             del self._entries[key]
+
+
+def _first_for_each_target(crashes: Iterable[TargetCrash]) -> list[TargetCrash]:
+    """Return crashes by their end, of each target the one that was noticed first."""
+    first: dict[int, TargetCrash] = {}
+    for crash in sorted(crashes, key=lambda it: it.ended_at):
+        first.setdefault(crash.target, crash)
+    return list(first.values())
+
+
+def _in_a_row(crashes: Iterable[TargetCrash]) -> tuple[TargetCrash, ...]:
+    """Return the longest row of crashes that each began after the end of the one before.
+
+    Of a longer row than is needed for a refusal, the latest crashes remain.
+
+    :param crashes: ordered by their end
+    """
+    row: list[TargetCrash] = []
+    for crash in crashes:
+        if not row or crash.began_at >= row[-1].ended_at:
+            row.append(crash)
+    return tuple(row[-_MAX_ROW:])
+
+
+def _untimed_crash(now: timedelta) -> TargetCrash:
+    """Return the crash that is known from a count without times.
+
+    Counts of the versions that send them grow with each request that a crashed target was running,
+    so that a higher count proves no more than one crash.
+    """
+    return TargetCrash(_UNKNOWN_TARGET, now - _UNTIMED_REPORT_AGE, now)
+
+
+def _read_crash(crash: ReportedCrash, now: timedelta) -> TargetCrash:
+    ended_at = now - crash.ended_ms * _MILLISECOND
+    began_at = now - crash.began_ms * _MILLISECOND
+    return TargetCrash(crash.target, min(began_at, ended_at), ended_at)
+
+
+def _suspect_report(fingerprint: int, entry: _Entry, now: timedelta) -> SuspectReport:
+    crashes = tuple(
+        ReportedCrash(it.target, _age_ms(it.began_at, now), _age_ms(it.ended_at, now))
+        for it in entry.row
+    )
+    completed_ms = None if entry.completed_at is None else _age_ms(entry.completed_at, now)
+    return SuspectReport(fingerprint, crashes, completed_ms)
+
+
+def _age_ms(at: timedelta, now: timedelta) -> int:
+    return max(0, (now - at) // _MILLISECOND)
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -4,22 +4,28 @@
 
 import zlib
 from functools import lru_cache
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from carawayquay.errors import FrameError
 from carawayquay.membership import is_ip_address
 
+if TYPE_CHECKING:
+    from carawayquay.discovery import RegisteredTarget
+
 __all__ = [
     "CrashReport",
     "DomainSummary",
     "LoadReport",
+    "ReportedCrash",
     "ServiceRate",
+    "SuspectReport",
     "TargetCount",
     "TargetLimitReport",
     "VMIdentity",
     "WarmObject",
+    "incarnation_hash",
     "short_hash",
     "with_usable_hosts",
 ]
@@ -35,6 +41,11 @@
     return zlib.crc32(name.encode())
 
 
+def incarnation_hash(target: RegisteredTarget) -> int:
+    """Return the hash by which reports identify one incarnation of a target."""
+    return short_hash(f"{target.name}/{target.incarnation}")
+
+
 @attrs.frozen
 class VMIdentity:
     """The identity of one incarnation of an entry VM.
@@ -78,6 +89,8 @@
 class CrashReport:
     """The number of target crashes attributed to requests with one fingerprint.
 
+    Versions that report no :class:`SuspectReport` count a crash once for each request.
+
     :param fingerprint: 64-bit hash of the request
     """
 
@@ -85,6 +98,33 @@
     crashes: int
 
 
+@attrs.frozen
+class ReportedCrash:
+    """A crash of a target while it held a request.
+
+    :param target: short hash of the target's name and incarnation
+    :param began_ms: milliseconds since the request was sent to the target
+    :param ended_ms: milliseconds since its connection broke
+    """
+
+    target: int
+    began_ms: int
+    ended_ms: int
+
+
+@attrs.frozen
+class SuspectReport:
+    """The target crashes that requests with one fingerprint may have caused, and what clears them.
+
+    :param fingerprint: 64-bit hash of the request
+    :param completed_ms: milliseconds since such a request completed last, or None if none did
+    """
+
+    fingerprint: int
+    crashes: tuple[ReportedCrash, ...]
+    completed_ms: int | None
+
+
 @attrs.frozen
 class TargetLimitReport:
     """What a target said last about its limit, and the demand of the sender for it.
@@ -121,6 +161,8 @@
     :param confirmed_ms: milliseconds since the store confirmed that the objects of each kind are
         current, or ``UNCONFIRMED_MS``; empty if the sender's version does not report it
     :param capacity: requests/s that processor and link of the VM carry, 0 if it is not known
+    :param suspects: the requests of ``crashes`` and cleared ones, with the times of the crashes;
+        empty if the sender's version does not report them
     """
 
     sender: VMIdentity
@@ -140,6 +182,7 @@
     cut_off: bool = False
     confirmed_ms: tuple[int, ...] = ()
     capacity: int = 0
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 @attrs.frozen
@@ -158,6 +201,7 @@
         sender's version does not report them
     :param era: the store's era of the revisions, 0 if the sender's version does not report it
     :param version: version of the sender's configuration, 0 if it has none or does not report it
+    :param suspects: as in a :class:`LoadReport`
     """
 
     sender: VMIdentity
@@ -172,6 +216,7 @@
     limits: tuple[TargetLimitReport, ...] | None = None
     era: int = 0
     version: int = 0
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 def with_usable_hosts(message: LoadReport | DomainSummary) -> Any:
--- a/packages/core/src/carawayquay/target_limits.py
+++ b/packages/core/src/carawayquay/target_limits.py
@@ -14,7 +14,7 @@
 
 from carawayquay.decaying_rate import DecayingRate
 from carawayquay.fleet_demand import FleetDemand
-from carawayquay.load_reports import TargetLimitReport, short_hash
+from carawayquay.load_reports import TargetLimitReport, incarnation_hash
 from carawayquay.named_limit import MAX_REPORTED_AGE, NamedLimit
 from carawayquay.priority_mix import PriorityFractions
 
@@ -30,7 +30,6 @@
     "ServiceLoad",
     "TargetLimit",
     "TargetLimits",
-    "limit_key",
 ]
 
 #: Fraction of a limit that is used, as reported demand is older than the demand itself.
@@ -196,7 +195,7 @@
         :param rate: requests/s of all VMs together, or None if the answer names no limit
         :param sent_at: when the request was sent
         """
-        return self._known(limit_key(target)).limit.hear_answer(rate, sent_at, now)
+        return self._known(incarnation_hash(target)).limit.hear_answer(rate, sent_at, now)
 
     def merge(self, report: TargetLimitReport, now: timedelta) -> LimitChange | None:
         """Take what another VM heard from a target, if it is newer than what is known here."""
@@ -204,13 +203,13 @@
 
     def count_request(self, target: RegisteredTarget, now: timedelta) -> None:
         """Count a request that is sent to a target without a limit."""
-        self._known(limit_key(target)).demand.count(now)
+        self._known(incarnation_hash(target)).demand.count(now)
 
     def admit(
         self, target: RegisteredTarget, load: ServiceLoad, now: timedelta
     ) -> LimitReached | None:
         """Count a request for a target; return the target's limit if it must not be sent there."""
-        key = limit_key(target)
+        key = incarnation_hash(target)
         known = self._known(key)
         limit = None if known.limit.rate is None else self._limit(key, known, load, now)
         known.demand.count(now)
@@ -226,7 +225,7 @@
         self, target: RegisteredTarget, load: ServiceLoad, now: timedelta
     ) -> TargetLimit | None:
         """Return the limit of a target that is in force, or None."""
-        key = limit_key(target)
+        key = incarnation_hash(target)
         known = self._targets.get(key)
         if known is None or known.limit.rate is None:
             return None
@@ -234,7 +233,7 @@
 
     def usable_rate(self, target: RegisteredTarget) -> float | None:
         """Return the requests/s that all VMs may send to a target, None without a limit."""
-        known = self._targets.get(limit_key(target))
+        known = self._targets.get(incarnation_hash(target))
         if known is None or known.limit.rate is None:
             return None
         return _admitted_rate(known.limit.rate)
@@ -307,11 +306,6 @@
         return [(key, known) for key, known in self._targets.items() if known.limit.reportable(now)]
 
 
-def limit_key(target: RegisteredTarget) -> int:
-    """Return the hash of a target and its incarnation, by which reports identify it."""
-    return short_hash(f"{target.name}/{target.incarnation}")
-
-
 def _report(key: int, limit: NamedLimit, demand: float, now: timedelta) -> TargetLimitReport:
     return TargetLimitReport(key, limit.rate, limit.age(now), demand)
 
--- a/packages/core/tests/test_crash_counts.py
+++ b/packages/core/tests/test_crash_counts.py
@@ -1,13 +1,20 @@
-"""A request that crashes targets is refused by every VM after its third crash."""
+"""A request that crashes targets is refused by every VM after its third crash, and no other one."""
 
 from __future__ import annotations
 
 from datetime import timedelta
+from itertools import permutations
+
+import attrs
+import pytest
+from crash_builders import crash, record_crashes
 
 from carawayquay.crash_counts import CrashCounts, request_fingerprint
 from carawayquay.forwarding import CallerRequest
+from carawayquay.load_reports import CrashReport, ReportedCrash, SuspectReport
 
 NOW = timedelta(seconds=5)
+LATER = NOW + timedelta(seconds=1)
 
 
 def _call(**changes):
@@ -24,6 +31,11 @@
     return CallerRequest(**(values | changes))
 
 
+def _tell(there, here, now=NOW):
+    """Let one VM's counts merge what another one reports."""
+    there.merge(here.reports(now), here.suspect_reports(now), now)
+
+
 def test_equal_requests_share_a_fingerprint_whatever_their_ids():
     assert request_fingerprint(_call()) == request_fingerprint(_call(request_id="r2"))
     assert request_fingerprint(_call()) != request_fingerprint(_call(body=b"x"))
@@ -32,29 +44,164 @@
 
 def test_request_is_refused_after_its_third_crash_wherever_the_crashes_were_seen():
     here, there = CrashCounts(), CrashCounts()
-    here.record_crash(1, NOW)
-    here.record_crash(1, NOW)
-    there.merge(here.reports(NOW), NOW)
+    here.record_crash(1, crash("t0", 0, 1), NOW)
+    here.record_crash(1, crash("t1", 1, 2), NOW)
+    _tell(there, here)
     assert not there.refused(1, NOW)
-    there.record_crash(1, NOW)
+    there.record_crash(1, crash("t2", 3, 4), NOW)
     assert there.refused(1, NOW)
-    here.merge(there.reports(NOW), NOW)
+    _tell(here, there)
     assert here.refused(1, NOW)
     assert not here.refused(1, NOW + timedelta(seconds=200))
 
 
 def test_request_that_completes_is_cleared():
     counts = CrashCounts()
-    counts.record_crash(1, NOW)
-    counts.record_crash(1, NOW)
-    counts.record_completion(1)
-    counts.record_crash(1, NOW)
-    assert not counts.refused(1, NOW)
+    record_crashes(counts, 1, 2, NOW)
+    counts.record_completion(1, NOW)
+    assert not counts.is_suspect(1, NOW)
+    counts.record_crash(1, crash("t9", 5, 5.5), LATER)
+    assert counts.count(1, LATER) == 1
+
+
+# Guards against one crash that counted once for each equal request that the target was running.
+def test_crash_of_one_target_counts_once_for_all_requests_that_ran_there():
+    counts = CrashCounts()
+    for began in (0.2, 0.4, 0.6, 0.8):
+        counts.record_crash(1, crash("t0", began, 1.0), NOW)
+    counts.record_crash(1, crash("t0", 1.1, 1.2), NOW)
+    assert counts.count(1, NOW) == 1
+
+
+# Guards against the crash of one target that counted once for each VM that saw it.
+def test_crash_that_several_vms_saw_counts_once():
+    vms = [CrashCounts() for _ in range(4)]
+    for index, vm in enumerate(vms):
+        vm.record_crash(1, crash("t0", index * 0.3, 1.0 + index * 0.01), NOW)
+    for here, there in permutations(vms, 2):
+        _tell(there, here)
+    assert [vm.count(1, NOW) for vm in vms] == [1] * 4
+
+
+# Guards against a domain without power, after which what all its targets ran would be refused.
+def test_targets_that_end_together_count_as_one_crash():
+    vms = [CrashCounts() for _ in range(3)]
+    for index in range(9):
+        vms[index % 3].record_crash(1, crash(f"t{index}", index / 20, 1 + index / 100), NOW)
+    for here, there in permutations(vms, 2):
+        _tell(there, here)
+    assert [vm.count(1, NOW) for vm in vms] == [1] * 3
+
+
+# Guards against a completion at one VM that a report of another VM undid.
+def test_request_that_completes_at_one_vm_is_cleared_at_all():
+    here, there, third = CrashCounts(), CrashCounts(), CrashCounts()
+    record_crashes(here, 1, 3, NOW)
+    _tell(there, here)
+    assert there.refused(1, NOW)
+    there.record_completion(1, LATER)
+    _tell(there, here, LATER)
+    assert not there.is_suspect(1, LATER)
+    _tell(here, there, LATER)
+    assert not here.is_suspect(1, LATER)
+    _tell(third, here, LATER)
+    assert not third.is_suspect(1, LATER)
+
+
+# Guards against a popular request that looks like the cause, since it runs beside the cause.
+def test_request_that_completes_between_crashes_is_never_refused():
+    counts = CrashCounts()
+    for number in range(12):
+        now = timedelta(seconds=10 * number)
+        counts.record_crash(1, crash(f"t{number}", 10 * number - 1, 10 * number), now)
+        assert counts.count(1, now) == 1
+        counts.record_completion(1, now + timedelta(seconds=3))
+
+
+def test_crash_after_a_completion_counts_at_a_vm_that_hears_of_both():
+    here, there = CrashCounts(), CrashCounts()
+    here.record_crash(1, crash("t0", 0, 1), NOW)
+    here.record_completion(1, timedelta(seconds=2))
+    here.record_crash(1, crash("t1", 3, 4), NOW)
+    _tell(there, here)
+    assert here.count(1, NOW) == there.count(1, NOW) == 1
+
+
+def test_counts_do_not_depend_on_the_order_of_reports():
+    seen = [crash("t0", 0, 1), crash("t1", 0.5, 1.5), crash("t2", 1, 2), crash("t3", 2, 3)]
+    for order in permutations(seen):
+        counts = CrashCounts()
+        for it in order:
+            counts.record_crash(1, it, NOW)
+        assert counts.refused(1, NOW)
+
+
+def test_reports_that_are_repeated_prolong_no_refusal():
+    here, there = CrashCounts(), CrashCounts()
+    record_crashes(here, 1, 3, NOW)
+    for seconds in range(0, 115, 5):
+        _tell(there, here, NOW + timedelta(seconds=seconds))
+        _tell(here, there, NOW + timedelta(seconds=seconds))
+    end = NOW + timedelta(seconds=121)
+    _tell(there, here, end)
+    assert not here.is_suspect(1, end)
+    assert not there.is_suspect(1, end)
+
+
+# Guards against the counts of the build before, which grow with each request on a crashed target.
+@pytest.mark.parametrize("count", [1, 3, 8, 255])
+def test_count_without_times_proves_no_more_than_one_crash(count):
+    counts = CrashCounts()
+    for seconds in range(0, 60, 2):
+        counts.merge([CrashReport(1, count)], (), NOW + timedelta(seconds=seconds))
+    assert counts.count(1, LATER) == 1
+    counts.record_completion(1, LATER)
+    counts.merge([CrashReport(1, count)], (), LATER)
+    assert not counts.is_suspect(1, LATER)
+
+
+def test_count_without_times_adds_no_crash_to_one_that_is_known():
+    counts = CrashCounts()
+    counts.record_crash(1, crash("t0", 3, 4), NOW)
+    counts.merge([CrashReport(1, 1)], (), NOW)
+    counts.merge([CrashReport(1, 4)], (), NOW)
+    assert counts.count(1, NOW) == 1
+
+
+def test_request_that_crashes_targets_of_both_builds_is_refused_after_three_more():
+    counts = CrashCounts()
+    counts.merge([CrashReport(1, 3)], (), NOW)
+    now = NOW
+    for number in range(3):
+        now += timedelta(seconds=2)
+        ended = now.total_seconds()
+        counts.record_crash(1, crash(f"t{number}", ended - 1, ended), now)
+    assert counts.refused(1, now)
+
+
+def test_vm_of_the_build_before_is_told_the_count():
+    counts = CrashCounts()
+    record_crashes(counts, 1, 3, NOW)
+    record_crashes(counts, 2, 1, NOW)
+    counts.record_completion(2, NOW)
+    assert counts.reports(NOW) == (CrashReport(1, 3),)
+
+
+@pytest.mark.parametrize("began_ms", [0, 500, 2**32 - 1])
+def test_odd_ages_are_merged_without_an_error(began_ms):
+    counts = CrashCounts()
+    report = SuspectReport(1, (ReportedCrash(7, began_ms, 1000),), 2**32 - 1)
+    counts.merge((), (report, attrs.evolve(report, fingerprint=2, completed_ms=None)), NOW)
+    assert counts.count(1, NOW) == counts.count(2, NOW) == 1
+    old = ReportedCrash(7, 2**32 - 1, 2**32 - 1)
+    counts.merge((), (SuspectReport(3, (old,), None),), NOW)
+    assert not counts.is_suspect(3, NOW)
 
 
 def test_counts_are_bounded_in_number():
     counts = CrashCounts()
     for fingerprint in range(5000):
-        counts.record_crash(fingerprint, NOW)
+        counts.record_crash(fingerprint, crash(), NOW)
     assert len(counts.reports(NOW)) <= 16
-    assert counts.record_crash(9999, NOW) == 0
+    assert len(counts.suspect_reports(NOW)) <= 16
+    assert counts.record_crash(9999, crash(), NOW) == 0
--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_target_limits.py
@@ -8,13 +8,12 @@
 import pytest
 from limit_fleet import LimitFleet, new_target
 
-from carawayquay.load_reports import TargetLimitReport
+from carawayquay.load_reports import TargetLimitReport, incarnation_hash
 from carawayquay.named_limit import LimitChange
 from carawayquay.target_limits import (
     FleetView,
     ServiceLoad,
     TargetLimits,
-    limit_key,
 )
 
 #: Bounds of the users' rule: window in seconds, factor, further requests, and time to learn it.
@@ -168,7 +167,7 @@
         limits.record(target, 5.0, _seconds(1), _seconds(1))
     reported = [{report.target for report in limits.reports(_seconds(1))} for _ in range(50)]
     assert max(map(len, reported)) <= 64
-    assert set.union(*reported) == {limit_key(target) for target in targets}
+    assert set.union(*reported) == {incarnation_hash(target) for target in targets}
     assert len(limits.domain_reports(_seconds(1))) <= 128
 
 
@@ -197,7 +196,7 @@
     limits = _limits()
     _record(limits, 5.0, 1, 2)
     _record(limits, None, 3, 4)
-    key = limit_key(new_target())
+    key = incarnation_hash(new_target())
     old = TargetLimitReport(key, 5.0, 3.0, 1.0)
     assert limits.merge(old, _seconds(5)) is None
     older = TargetLimitReport(key, 5.0, 40.0, 1.0)
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -228,9 +228,17 @@
         if self._state.reach.cut_off or unreachable >= _MAX_UNREACHABLE:
             end = await self._peers.run(exchange)
             if end is not None:
+                self._record_completion_at_peer(exchange, end)
                 return end
         return await self._attempts.run(exchange)
 
+    def _record_completion_at_peer(
+        self, exchange: Exchange, end: AttemptEnd | NoCapacity | RequestCrashesTargets
+    ) -> None:
+        """Record that a request that was sent through another VM completed."""
+        if isinstance(end, AttemptEnd) and isinstance(end.result, Answered) and end.result.ran:
+            self._crashes.record_completion(exchange.fingerprint, self._state.clock.now())
+
     def _handle_end(self, exchange: Exchange, end: AttemptEnd) -> HttpResponse | None:
         """Return the caller's answer after an attempt, or None to try another target."""
         exchange.limit_reached = end.limit_reached
--- a/packages/gateway/src/carawayquay_gateway/limit_recorder.py
+++ b/packages/gateway/src/carawayquay_gateway/limit_recorder.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from carawayquay.forwarding import LimitAbsent, LimitNamed, LimitUnreadable
+from carawayquay.load_reports import incarnation_hash
 from carawayquay.named_limit import LimitChange
-from carawayquay.target_limits import limit_key
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
@@ -125,7 +125,7 @@
 
     def _target_name(self, key: int) -> str:
         """Return the name of the registered target that a report means, or else the hash."""
-        names = (target.name for target in self._targets if limit_key(target) == key)
+        names = (target.name for target in self._targets if incarnation_hash(target) == key)
         return next(names, f"{key:08x}")
 
     def _report_unreadable(self, target: RegisteredTarget, text: str) -> None:
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -123,7 +123,7 @@
         if not self._state.peers.receive(report, now):
             return
         self._state.knowledge.confirm_by_report(report, now)
-        self._crashes.merge(report.crashes, now)
+        self._crashes.merge(report.crashes, report.suspects, now)
         self._state.merge_warm_objects(report.warmed)
         self._state.limit_recorder.merge_report(report)
         if report.sender.domain == self._state.identity.domain:
@@ -253,4 +253,5 @@
             cut_off=state.reach.cut_off,
             confirmed_ms=state.knowledge.reported_ages(),
             capacity=state.settings.capacity,
+            suspects=self._crashes.suspect_reports(now),
         )
--- a/packages/gateway/src/carawayquay_gateway/summaries.py
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -192,6 +192,7 @@
             limits=state.target_limits.domain_reports(now),
             era=state.replica_era,
             version=state.configuration_version,
+            suspects=self._crashes.suspect_reports(now),
         )
 
     def _handle_datagram(self, data: bytes, host: str) -> None:
@@ -208,7 +209,7 @@
             self._relayed_at[summary.sender.domain] = now
         if not is_new:
             return
-        self._crashes.merge(summary.crashes, now)
+        self._crashes.merge(summary.crashes, summary.suspects, now)
         state.merge_warm_objects(summary.warmed)
         state.limit_recorder.merge_summary(summary)
         self._relay(data, summary.sender.domain, host, domain_peers, now)
--- a/packages/gateway/src/carawayquay_gateway/target_attempts.py
+++ b/packages/gateway/src/carawayquay_gateway/target_attempts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from carawayquay.placement import NoCapacity
+from carawayquay.running_requests import RunningRequests
 from carawayquay_gateway.exchanges import Answered, Attempt, AttemptEnd
 from carawayquay_gateway.observations import Observations
 from carawayquay_platform import headers
@@ -38,6 +39,7 @@
         self._selection = selection
         self._caller = caller
         self._crashes = crashes
+        self._running = RunningRequests()
         self._observations = Observations(state, warm)
 
     def count_request(self) -> None:
@@ -53,13 +55,14 @@
         remaining = exchange.deadline - self._state.clock.now()
         request = headers.target_request(exchange.call, target.name, remaining)
         exchange.tried_targets.add(target.name)
-        result = await self._caller.call(
-            target,
-            request,
-            remaining,
-            exchange.fingerprint,
-            repeatable=exchange.route.idempotent,
-        )
+        with self._running.running(target.name, exchange.fingerprint):
+            result = await self._caller.call(
+                target,
+                request,
+                remaining,
+                exchange.fingerprint,
+                repeatable=exchange.route.idempotent,
+            )
         if isinstance(result, Answered):
             self._record(exchange, placed, result)
         elif not result.sent:
@@ -67,6 +70,15 @@
         return AttemptEnd(Attempt.at(placed), result, placed.limit_reached)
 
     def _select(self, exchange: Exchange) -> Placement | NoCapacity:
+        """Select a target, for a suspect one that runs no other suspect if there is any."""
+        avoided = self._targets_of_other_suspects(exchange)
+        if avoided:
+            placed = self._select_except(exchange, exchange.tried_targets | avoided)
+            if not isinstance(placed, NoCapacity):
+                return placed
+        return self._select_except(exchange, exchange.tried_targets)
+
+    def _select_except(self, exchange: Exchange, excluded: set[str]) -> Placement | NoCapacity:
         now = self._state.clock.now()
         return self._selection.select(
             exchange.route,
@@ -74,16 +86,25 @@
             exchange.call.object_key,
             exchange.elapsed(now),
             exchange.remaining(now),
-            exchange.tried_targets,
+            excluded,
         )
 
+    def _targets_of_other_suspects(self, exchange: Exchange) -> set[str]:
+        """Return the targets whose next crash could not be attributed to a suspect alone."""
+        if not self._crashes.is_suspect(exchange.fingerprint, self._state.clock.now()):
+            return set()
+        return self._running.targets_of_other_suspects(exchange.fingerprint, self._is_suspect)
+
+    def _is_suspect(self, fingerprint: int) -> bool:
+        return self._crashes.is_suspect(fingerprint, self._state.clock.now())
+
     def _record(self, exchange: Exchange, placed: Placement, answered: Answered) -> None:
         """Record what a target's answer tells about it and about the request."""
         stats = self._state.stats(placed.target.name)
         if not answered.ran:
             stats.shed(self._state.clock.now())
             return
-        self._crashes.record_completion(exchange.fingerprint)
+        self._crashes.record_completion(exchange.fingerprint, self._state.clock.now())
         if answered.answer.status < _SERVER_ERROR:
             self._observations.record(exchange, placed, answered)
         else:
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -9,6 +9,8 @@
 
 import curio
 
+from carawayquay.crash_counts import TargetCrash
+from carawayquay.load_reports import incarnation_hash
 from carawayquay_gateway.exchanges import Answered, Unanswered
 from carawayquay_platform import headers
 from carawayquay_wire.dialing import dial
@@ -113,7 +115,7 @@
             unanswered = Unanswered(failure.sent, failure.timed_out)
             if not failure.fresh:
                 await self._record_reused_failure(target, unanswered)
-            await self._record_failure(target, unanswered, fingerprint)
+            await self._record_failure(target, unanswered, fingerprint, started)
             return unanswered
         finally:
             stats.running -= 1
@@ -151,11 +153,17 @@
             self._state.idle_timeouts.record_reset(target.service, self._state.clock.now())
 
     async def _record_failure(
-        self, target: RegisteredTarget, unanswered: Unanswered, fingerprint: int
+        self,
+        target: RegisteredTarget,
+        unanswered: Unanswered,
+        fingerprint: int,
+        started: timedelta,
     ) -> None:
         """Record a call without a complete answer; check for a crash if the connection broke.
 
         While this VM is cut off from all targets, failures say nothing about the target.
+
+        :param started: when the call began
         """
         reach = self._state.reach
         if unanswered.sent:
@@ -171,7 +179,8 @@
             await curio.spawn(check, daemon=True)
         elif not unanswered.timed_out:
             await self._http.drop_idle(target.address)
-            await curio.spawn(self._check_crash, target, fingerprint, now, daemon=True)
+            crash = TargetCrash(incarnation_hash(target), started, now)
+            await curio.spawn(self._check_crash, target, fingerprint, crash, daemon=True)
 
     def _mark_cold(self, target: RegisteredTarget, now: timedelta) -> None:
         """Mark an unreachable or crashed target as cold, as it will be when it is back."""
@@ -204,15 +213,15 @@
         return not await self._accepts_connections(target.address)
 
     async def _check_crash(
-        self, target: RegisteredTarget, fingerprint: int, failed_at: timedelta
+        self, target: RegisteredTarget, fingerprint: int, crash: TargetCrash
     ) -> None:
-        """Count a crash and eject the target if it alone accepts no new connection."""
+        """Record a crash and eject the target if it alone accepts no new connection."""
         if await self._accepts_connections(target.address):
             return
-        if not await self._is_lost(target, failed_at):
+        if not await self._is_lost(target, crash.ended_at):
             return
         now = self._state.clock.now()
-        count = self._crashes.record_crash(fingerprint, now)
+        count = self._crashes.record_crash(fingerprint, crash, now)
         self._state.stats(target.name).ejected_until = now + _CRASH_EJECTION
         self._mark_cold(target, now)
         _log.warning(
--- a/packages/gateway/tests/test_limit_recorder.py
+++ b/packages/gateway/tests/test_limit_recorder.py
@@ -20,8 +20,12 @@
 
 from carawayquay.clock import ManualClock
 from carawayquay.forwarding import LimitAbsent, LimitNamed, LimitUnreadable, TargetAnswer
-from carawayquay.load_reports import DomainSummary, LoadReport, TargetLimitReport
-from carawayquay.target_limits import limit_key
+from carawayquay.load_reports import (
+    DomainSummary,
+    LoadReport,
+    TargetLimitReport,
+    incarnation_hash,
+)
 
 _TARGETS = [("t0", target())]
 
@@ -115,7 +119,7 @@
 
 
 def _limit_report(state, rate=5.0, demand=30.0):
-    return TargetLimitReport(limit_key(state.targets.get("t0")), rate, 0.1, demand)
+    return TargetLimitReport(incarnation_hash(state.targets.get("t0")), rate, 0.1, demand)
 
 
 def test_limit_and_demand_of_a_vm_of_the_domain_are_taken():
--- a/packages/gateway/tests/test_peer_promises.py
+++ b/packages/gateway/tests/test_peer_promises.py
@@ -9,6 +9,7 @@
 
 import curio
 import pytest
+from crash_builders import record_crashes
 from cut_off_fleet import MODES, CutOffFleet, HandlingTarget
 from gateway_builders import configuration, request, route
 from gateway_site import free_ports
@@ -299,8 +300,8 @@
     async def check(fleet):
         cut, knowing, *_ = fleet.vms
         call = headers.parse_request(request())
-        for _ in range(3):
-            knowing.crashes.record_crash(request_fingerprint(call), knowing.state.clock.now())
+        now = knowing.state.clock.now()
+        record_crashes(knowing.crashes, request_fingerprint(call), 3, now)
         await cut.cut_off("hang")
         while not knowing.messages:
             other = [len(vm.messages) for vm in fleet.vms[2:]]
@@ -315,8 +316,8 @@
     async def check(fleet):
         cut, helper = fleet.vms
         call = headers.parse_request(request(path="/reports/crash"))
-        for _ in range(3):
-            helper.crashes.record_crash(request_fingerprint(call), helper.state.clock.now())
+        now = helper.state.clock.now()
+        record_crashes(helper.crashes, request_fingerprint(call), 3, now)
         await cut.cut_off("hang")
         refused = await _spawn(cut, "a1", path="/reports/crash")
         await curio.sleep(0.1)
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -7,6 +7,7 @@
 import attrs
 import curio
 import pytest
+from crash_builders import record_crashes
 from curio.network import tcp_server_socket
 from gateway_builders import identity, new_state, run
 
@@ -97,7 +98,7 @@
     async def check():
         first, *others = await _started()
         first.state.stats("t1").running = 3
-        first.crashes.record_crash(99, _now(first))
+        record_crashes(first.crashes, 99, 1, _now(first))
         first.warm.add(short_hash("t1"), 7, _now(first))
         code = short_hash("t1")
         await _until(lambda: all(vm.state.peers.running(code) == 3 for vm in others))
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -19,7 +19,9 @@
     CrashReport,
     DomainSummary,
     LoadReport,
+    ReportedCrash,
     ServiceRate,
+    SuspectReport,
     TargetCount,
     TargetLimitReport,
     VMIdentity,
@@ -54,6 +56,7 @@
 _MAX_RUNNING = 65_535
 _MAX_CRASHES = 255
 _MAX_AGE_UNITS = 65_535
+_MAX_MILLISECONDS = 2**32 - 1
 _MAX_DEMAND = 65_000.0
 
 #: Higher rates in requests/s are left out, as no VM reaches them.
@@ -142,6 +145,7 @@
         "limitsReported": message.limits is not None,
         "era": message.era,
         "version": min(message.version, _MAX_VERSION),
+        "suspects": [_suspect_fields(suspect) for suspect in message.suspects],
     }
 
 
@@ -165,6 +169,7 @@
         ),
         "era": reader.era,
         "version": reader.version,
+        "suspects": tuple(_read_suspect(item) for item in reader.suspects),
     }
 
 
@@ -197,6 +202,30 @@
     return TargetLimitReport(target, rate if rate >= 0 else None, age * _AGE_UNIT_SECONDS, demand)
 
 
+def _suspect_fields(suspect: SuspectReport) -> dict[str, Any]:
+    return {
+        "fingerprint": suspect.fingerprint,
+        "crashes": [
+            {
+                "target": crash.target,
+                "beganMs": min(crash.began_ms, _MAX_MILLISECONDS),
+                "endedMs": min(crash.ended_ms, _MAX_MILLISECONDS),
+            }
+            for crash in suspect.crashes
+        ],
+        "completed": suspect.completed_ms is not None,
+        "completedMs": min(suspect.completed_ms or 0, _MAX_MILLISECONDS),
+    }
+
+
+def _read_suspect(reader: Any) -> SuspectReport:
+    return SuspectReport(
+        reader.fingerprint,
+        tuple(ReportedCrash(it.target, it.beganMs, it.endedMs) for it in reader.crashes),
+        reader.completedMs if reader.completed else None,
+    )
+
+
 def _identity_fields(identity: VMIdentity) -> dict[str, Any]:
     return {
         "name": identity.name,
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -13,6 +13,19 @@
   crashes @1 :UInt8;
 }
 
+struct ReportedCrash {
+  target @0 :UInt32;  # hash of target and incarnation
+  beganMs @1 :UInt32;  # milliseconds ago, like endedMs
+  endedMs @2 :UInt32;
+}
+
+struct SuspectReport {
+  fingerprint @0 :UInt64;
+  crashes @1 :List(ReportedCrash);
+  completed @2 :Bool;
+  completedMs @3 :UInt32;  # milliseconds ago, if completed
+}
+
 struct LoadReport {
   sender @0 :Member;
   sequence @1 :UInt64;
@@ -32,6 +45,7 @@
   cutOff @15 :Bool;
   confirmedMs @16 :List(UInt32);  # see LoadReport.confirmed_ms, by kind like revisions
   capacity @17 :UInt32;  # requests per second
+  suspects @18 :List(SuspectReport);
 }
 
 struct DomainSummary {
@@ -48,6 +62,7 @@
   limitsReported @10 :Bool;
   era @11 :UInt32;
   version @12 :UInt64;
+  suspects @13 :List(SuspectReport);
 }
 
 # Items of limits are little-endian: hash of target and incarnation (UInt32), limit in requests per
--- a/packages/wire/tests/test_reports.py
+++ b/packages/wire/tests/test_reports.py
@@ -16,7 +16,9 @@
     CrashReport,
     DomainSummary,
     LoadReport,
+    ReportedCrash,
     ServiceRate,
+    SuspectReport,
     TargetCount,
     TargetLimitReport,
     VMIdentity,
@@ -27,16 +29,23 @@
 
 SENDER = VMIdentity("puget-a-1", "10.0.0.1", "puget-a", "puget", 1764835200000)
 UINT32 = st.integers(0, 2**32 - 1)
+SUSPECTS = st.builds(
+    SuspectReport,
+    st.integers(0, 2**64 - 1),
+    st.lists(st.builds(ReportedCrash, UINT32, UINT32, UINT32), max_size=3).map(tuple),
+    st.none() | UINT32,
+)
 
 
 @given(
     targets=st.lists(st.builds(TargetCount, UINT32, st.integers(0, 65535)), max_size=9),
     warmed=st.lists(st.builds(WarmObject, UINT32, UINT32), max_size=9),
     crashes=st.lists(st.builds(CrashReport, st.integers(0, 2**64 - 1), st.integers(0, 255))),
+    suspects=st.lists(SUSPECTS, max_size=5),
     leaving=st.booleans(),
     watching=st.booleans(),
 )
-def test_report_round_trips(targets, warmed, crashes, leaving, watching):
+def test_report_round_trips(targets, warmed, crashes, suspects, leaving, watching):
     report = LoadReport(
         sender=SENDER,
         sequence=7,
@@ -51,6 +60,7 @@
         cut_off=True,
         confirmed_ms=(0, 1200, 2**32 - 1),
         capacity=1075,
+        suspects=tuple(suspects),
     )
     assert decode_report(encode_report(report)) == report
 
@@ -74,8 +84,8 @@
 
 def _later_version(tmp_path):
     schema = SCHEMA.replace("incarnation @4 :UInt64;", "incarnation @4 :UInt64; a @5 :Text;")
-    last = "capacity @17 :UInt32;"
-    added = f"{last} mood @18 :Text; moods @19 :List(Member);"
+    last = "suspects @18 :List(SuspectReport);"
+    added = f"{last} mood @19 :Text; moods @20 :List(Member);"
     return _load_other_version(tmp_path, schema.replace(last, added))
 
 
@@ -83,7 +93,7 @@
     """Load a schema without the last fields of ``LoadReport`` and without ``DomainSummary``."""
     schema = SCHEMA.partition("struct DomainSummary")[0]
     return _load_other_version(
-        tmp_path, re.sub(r".*@(8|9|10|11|12|13|14|15|16|17) :.*\n", "", schema)
+        tmp_path, re.sub(r".*@(8|9|10|11|12|13|14|15|16|17|18) :.*\n", "", schema)
     )
 
 
@@ -103,6 +113,7 @@
         rates=(ServiceRate(1, 2.5),),
         crashes=(CrashReport(7, 2),),
         warmed=(WarmObject(1, 2),),
+        suspects=(SuspectReport(7, (ReportedCrash(1, 30, 20),), 10), SuspectReport(8, (), None)),
     )
     assert decode_summary(encode_summary(summary)) == summary
 
--- a/standins/tests/test_recorded_data.py
+++ b/standins/tests/test_recorded_data.py
@@ -22,22 +22,27 @@
 from carawayquay_wire import codec, reports
 
 MESSAGES = recorded("messages")["messages"]
-REPORTS = recorded("reports_with_capacity")["reports"]
+REPORTS = recorded("reports_with_suspects")["reports"]
 #: Earlier builds: their recorded reports, their schema, and what later builds added to a report.
 EARLIER_BUILDS = (
     (
         "reports",
         "reports_before_limits",
-        ("limits", "era", "version", "cut_off", "confirmed_ms", "capacity"),
+        ("limits", "era", "version", "cut_off", "confirmed_ms", "capacity", "suspects"),
     ),
     (
         "reports_with_limits",
         "reports_before_eras",
-        ("era", "version", "cut_off", "confirmed_ms", "capacity"),
+        ("era", "version", "cut_off", "confirmed_ms", "capacity", "suspects"),
     ),
-    ("reports_with_eras", "reports_before_cut_off", ("cut_off", "confirmed_ms", "capacity")),
-    ("reports_with_cut_off", "reports_before_confirmed", ("confirmed_ms", "capacity")),
-    ("reports_with_confirmed", "reports_before_capacity", ("capacity",)),
+    (
+        "reports_with_eras",
+        "reports_before_cut_off",
+        ("cut_off", "confirmed_ms", "capacity", "suspects"),
+    ),
+    ("reports_with_cut_off", "reports_before_confirmed", ("confirmed_ms", "capacity", "suspects")),
+    ("reports_with_confirmed", "reports_before_capacity", ("capacity", "suspects")),
+    ("reports_with_capacity", "reports_before_suspects", ("suspects",)),
 )
 EARLIER_REPORTS = [
     pytest.param(item, schema, added, id=f"{schema}-{item['struct']}-{item['true_flag']}")
@@ -52,6 +57,7 @@
     "cut_off": False,
     "confirmed_ms": (),
     "capacity": 0,
+    "suspects": (),
 }
 REPORT_CODECS = {
     "LoadReport": (LoadReport, reports.encode_report, reports.decode_report),
