Keep no superseded version of an object, and bound the history in bytes

Cause: a replica kept its last 1,000 changes for VMs that are behind, each with the whole decoded object, up to 1 MB of JSON. Beside it, a request in flight held the configuration under which it had arrived.

Change: the history names revisions only, and keeps beside the objects deletions without values and the last version in use of an object whose later ones were refused or deleted: 2 MiB of JSON at most, with a gauge for each kind. Changes that are too large together count as lost history and are replaced by a listing at once, not taken for an outage. Exchanges don't hold the configuration.

--- a/packages/core/src/carawayquay/errors.py
+++ b/packages/core/src/carawayquay/errors.py
@@ -217,6 +217,10 @@
     """A connection to the store that had answered before did not answer in time."""
 
 
+class ResponseTooLargeError(StoreError):
+    """A response of the store exceeded the limit of its size."""
+
+
 class HistoryLostError(StoreError):
     """The revision from which to watch has been compacted away in the store."""
 
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -58,6 +58,7 @@
 
 if TYPE_CHECKING:
     from carawayquay.routes import TrafficLimits
+    from carawayquay_gateway.replicas import Replica
     from carawayquay_gateway.settings import GatewaySettings
     from carawayquay_platform.objects import ObjectKind
     from carawayquay_wire.connection_ends import ConnectionEnd
@@ -191,8 +192,10 @@
         gauge("objects_refused", lambda: float(len(self._state.object_applier.refused)))
         gauge("targets_limited", lambda: float(self._state.target_limits.limited))
         gauge("store_era", lambda: float(self._state.store_history.era))
-        for kind in self._state.replicas:
-            gauge(f"{kind.name.lower()}_age_seconds", partial(self._knowledge_age, kind))
+        for kind, replica in self._state.replicas.items():
+            name = kind.name.lower()
+            gauge(f"{name}_age_seconds", partial(self._knowledge_age, kind))
+            gauge(f"{name}_history_bytes", partial(_history_bytes, replica))
         gauge("stopping", lambda: float(self._state.stopping))
 
     async def run(self, reload_signal: ReloadSignal) -> None:
@@ -328,6 +331,10 @@
     )
 
 
+def _history_bytes(replica: Replica) -> float:
+    return float(replica.history_bytes)
+
+
 def run(settings: str) -> None:
     """Run a gateway until a stop signal arrives.
 
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import attrs
 import curio
 
 from carawayquay.crash_counts import request_fingerprint
@@ -14,7 +15,11 @@
 from carawayquay.routes import Route, UnreadRoutes
 from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.answers import CallerAnswers
-from carawayquay_gateway.authentication import AuthenticationFailed, authenticate
+from carawayquay_gateway.authentication import (
+    Authenticated,
+    AuthenticationFailed,
+    authenticate,
+)
 from carawayquay_gateway.exchanges import (
     Answered,
     Attempt,
@@ -66,6 +71,17 @@
 _SERVER_ERROR = 500
 
 
+@attrs.frozen
+class _Admitted:
+    """A request that may be forwarded.
+
+    :param organisation: the organisation whose quota has to admit it, or None
+    """
+
+    exchange: Exchange
+    organisation: Organisation | None
+
+
 class Forwarder:
     """Forwards callers' requests along their routes, and retries within the retry budget."""
 
@@ -84,6 +100,7 @@
         self._random = random
         self._answers = CallerAnswers(state)
         self._service_choices: dict[str, tuple[Route, WeightedChoice]] = {}
+        self._choices_version: int | None = None
         self._active = 0
 
     @property
@@ -121,6 +138,20 @@
         self._answers.record_connection_end(cause, response)
 
     async def _handle(self, call: CallerRequest) -> HttpResponse:
+        admitted = self._admit(call)
+        match admitted:
+            case _Admitted(exchange, None):
+                return await self._forward(exchange)
+            case _Admitted(exchange, organisation):
+                return await self._forward_within_quota(exchange, organisation)
+        return admitted
+
+    def _admit(self, call: CallerRequest) -> _Admitted | HttpResponse:
+        """Return a request that may be forwarded, or the answer to another one.
+
+        What is admitted holds its route but not the configuration, of which many versions may come
+        while targets run requests.
+        """
         state = self._state
         now = state.clock.now()
         configuration = state.configuration
@@ -131,42 +162,46 @@
                 call, ErrorKind.UNCONFIGURED, reason, _UNCONFIGURED_RETRY
             )
         route = configuration.find(call.host, call.path)
-        if route is None:
-            reason = f"no route matches in configuration version {configuration.version}"
-            return self._answers.request_error(
-                call, ErrorKind.UNKNOWN_ROUTE, reason, version=configuration.version
-            )
-        if isinstance(route, UnreadRoutes):
-            reason = f"the route in configuration version {configuration.version} is invalid"
-            return self._answers.request_error(
-                call,
-                ErrorKind.UNREAD_ROUTE,
-                reason,
-                _UNREAD_PART_RETRY,
-                version=configuration.version,
-            )
+        if not isinstance(route, Route):
+            return self._route_error(call, route, configuration)
         caller = authenticate(call, route, configuration)
         if isinstance(caller, AuthenticationFailed):
             return self._authentication_error(call, route, configuration, caller)
+        exchange = self._new_exchange(caller, configuration.version, now)
+        stop = state.planned_stop
+        if stop is not None and not stop.admits(exchange.deadline, now):
+            return self._answers.exchange_error(
+                exchange, ErrorKind.STOPPING, "this VM stops before the deadline", _STOPPING_RETRY
+            )
+        if self._crashes.refused(exchange.fingerprint, now):
+            return self._crash_error(exchange)
+        return _Admitted(exchange, caller.organisation)
+
+    def _new_exchange(self, caller: Authenticated, version: int, now: timedelta) -> Exchange:
+        """Choose the service of a request, count it, and return its state."""
         call, route = caller.call, caller.route
         service = self._service_choice(route).next()
-        state.service(service).count_request(now, route.priority)
+        self._state.service(service).count_request(now, route.priority)
         self._attempts.count_request()
         remaining = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
         deadline = now + remaining - _ANSWER_MARGIN
         fingerprint = request_fingerprint(call)
+        return Exchange(call, route, service, version, now, deadline, fingerprint)
+
+    def _route_error(
+        self, call: CallerRequest, route: UnreadRoutes | None, configuration: Configuration
+    ) -> HttpResponse:
+        """Return the answer to a request that no route, or one that can't be read, matches."""
         version = configuration.version
-        exchange = Exchange(call, route, service, version, now, deadline, fingerprint)
-        stop = state.planned_stop
-        if stop is not None and not stop.admits(deadline, now):
-            return self._answers.exchange_error(
-                exchange, ErrorKind.STOPPING, "this VM stops before the deadline", _STOPPING_RETRY
+        if route is None:
+            reason = f"no route matches in configuration version {version}"
+            return self._answers.request_error(
+                call, ErrorKind.UNKNOWN_ROUTE, reason, version=version
             )
-        if self._crashes.refused(exchange.fingerprint, now):
-            return self._crash_error(exchange)
-        if caller.organisation is None:
-            return await self._forward(exchange)
-        return await self._forward_within_quota(exchange, caller.organisation)
+        reason = f"the route in configuration version {version} is invalid"
+        return self._answers.request_error(
+            call, ErrorKind.UNREAD_ROUTE, reason, _UNREAD_PART_RETRY, version=version
+        )
 
     async def _forward_within_quota(
         self, exchange: Exchange, organisation: Organisation
@@ -354,9 +389,20 @@
 
     def _service_choice(self, route: Route) -> WeightedChoice:
         """Return the weighted choice among a route's services, rebuilt when they change."""
+        self._forget_removed_routes()
         known = self._service_choices.get(route.name)
         if known is not None and known[0].services == route.services:
             return known[1]
         choice = WeightedChoice(route.services, self._random.random())
         self._service_choices[route.name] = (route, choice)
         return choice
+
+    def _forget_removed_routes(self) -> None:
+        """Forget the choices of routes that the configuration in force does not have."""
+        configuration = self._state.configuration
+        if configuration is None or configuration.version == self._choices_version:
+            return
+        self._choices_version = configuration.version
+        names = {route.name for route in configuration.routes}
+        for name in self._service_choices.keys() - names:
+            del self._service_choices[name]
--- a/packages/gateway/src/carawayquay_gateway/object_applier.py
+++ b/packages/gateway/src/carawayquay_gateway/object_applier.py
@@ -101,7 +101,10 @@
         """Return an empty replica for each kind of object, with this object's change handlers."""
         handlers = {
             ObjectKind.CONFIGURATION: ObjectHandler(
-                self.apply_configuration, _ignore_deletion, self._note_lost_configuration
+                self.apply_configuration,
+                _ignore_deletion,
+                self._note_lost_configuration,
+                keeps_deleted=True,
             ),
             ObjectKind.TARGETS: ObjectHandler(
                 self._put_target, self._delete_target, self._note_lost_target
@@ -152,10 +155,14 @@
         for domain in started:
             _log.info(Event.EVACUATION_STARTED, domain=domain, reason="still in the store")
 
-    def apply_configuration(self, stored: StoredObject) -> None:
-        """Put a configuration in force, unless it is invalid or older than the one in force."""
+    def apply_configuration(self, stored: StoredObject) -> bool:
+        """Put a configuration in force, unless it is invalid or older than the one in force.
+
+        :returns: whether it was put in force and needs no former one, from which the parts that are
+            not understood are taken
+        """
         if stored.name != CONFIGURATION_NAME:
-            return
+            return False
         current = self.configuration
         try:
             draft = parse_configuration(stored.value)
@@ -173,11 +180,11 @@
                 )
         except ObjectError as error:
             self._refuse_object("configuration", stored.name, str(error))
-            return
+            return False
         self._refused.pop(stored.name, None)
         self._log_rewritten("configuration", stored)
         if current is not None and draft.version == current.version:
-            return
+            return False
         configuration = build_configuration(draft, current)
         self._configuration_object = stored
         self.configuration = configuration
@@ -192,6 +199,7 @@
             remarks=len(draft.remarks),
         )
         self._report_remarks(draft.remarks, configuration.version)
+        return not draft.remarks
 
     def _report_remarks(self, remarks: tuple[tuple[Remark, int], ...], version: int) -> None:
         """Log and count the remarks on a newly applied version."""
@@ -216,7 +224,8 @@
         self._metrics.count("objects_refused_total", kind=kind)
         _log.warning(Event.OBJECT_REFUSED, kind=kind, name=name, reason=reason)
 
-    def _put_target(self, stored: StoredObject) -> None:
+    def _put_target(self, stored: StoredObject) -> bool:
+        """Register a target, and return whether its object is used from now on."""
         self._removals_due.pop(stored.name, None)
         self._withheld_until.pop(stored.name, None)
         self._log_rewritten("target", stored)
@@ -224,21 +233,22 @@
             target = parse_target(stored, self._regions())
         except ObjectError as error:
             self._refuse_object("target", stored.name, str(error))
-            return
+            return False
         self._refused.pop(stored.name, None)
         now = self._clock.now()
         if self._restored_recently() and self._removed.covers(target, now):
             self._withheld_until[target.name] = (stored, now + _RETURNED_OBJECT_HOLD)
             self._log_withheld("target", stored, "removed before the restore")
-            return
+            return False
         self._removed.forget(target.name)
         change = self._targets.register(target, now)
         if change is None:
             self._outdated.add(target.name)
             self._log_withheld("target", stored, "older than the known registration")
-            return
+            return False
         self._outdated.discard(target.name)
         self._handle_target_change(change, target, stored.revision)
+        return True
 
     def _handle_target_change(
         self, change: TargetChange, target: RegisteredTarget, revision: StoreRevision
@@ -292,14 +302,17 @@
         _log.info(Event.TARGET_LOST, target=name, reason="removed")
         self._on_removal(name)
 
-    def _put_evacuation(self, stored: StoredObject) -> None:
+    def _put_evacuation(self, stored: StoredObject) -> bool:
+        """Start an evacuation, and return whether its object is used from now on."""
         domain = stored.name
         self._log_rewritten("evacuation", stored)
         is_new = domain not in self._evacuated
         if not self._evacuated.start(domain, stored.revision, self._clock.now()):
             self._log_withheld("evacuation", stored, "ended before the restore")
-        elif is_new:
+            return False
+        if is_new:
             _log.info(Event.EVACUATION_STARTED, domain=domain, revision=stored.revision)
+        return True
 
     def _delete_evacuation(self, name: str) -> None:
         if ("evacuation", name) in self._lost:
--- a/packages/gateway/src/carawayquay_gateway/replicas.py
+++ b/packages/gateway/src/carawayquay_gateway/replicas.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
 
 from carawayquay.store_revision import NO_REVISION, StoreRevision
+from carawayquay_gateway.object_history import ObjectHistory
 from carawayquay_platform.object_changes import ObjectChanges, ObjectEvent
 from carawayquay_wire.events import Event, EventLog
 
@@ -21,9 +21,6 @@
 
 _log = EventLog("replicas")
 
-#: Maximum number of changes in the history; a peer that is farther behind lists all objects.
-_MAX_HISTORY = 1000
-
 
 def _ignore(_: str) -> None:
     """Do nothing."""
@@ -33,15 +30,18 @@
 class ObjectHandler:
     """Callbacks for changes to the objects of one kind.
 
-    :param on_put: called with each object that was created or replaced
+    :param on_put: called with each object that was created or replaced; returns whether the object
+        was taken into use, so that a VM that has it needs no former version
     :param on_delete: called with the name of each deleted object
     :param on_lost: called with the name of an object before ``on_delete``, if the store lacks the
         object because it was restored from an older copy
+    :param keeps_deleted: whether an object's last value stays in use when the object is deleted
     """
 
-    on_put: Callable[[StoredObject], None]
+    on_put: Callable[[StoredObject], bool]
     on_delete: Callable[[str], None]
     on_lost: Callable[[str], None] = _ignore
+    keeps_deleted: bool = False
 
 
 class Replica:
@@ -59,9 +59,8 @@
         self._objects: dict[str, StoredObject] = {}
         self._revision: StoreRevision | None = None
         self._change_revision = NO_REVISION
-        self._history: deque[tuple[StoreRevision, ObjectEvent]] = deque()
-        #: The revision after which the history is complete, but for deletions by a restore.
-        self._history_start = NO_REVISION
+        #: Complete but for deletions by a restore.
+        self._history = ObjectHistory(keeps_deleted=handler.keeps_deleted)
         #: The first revision reached in the current era, and the last one in the era before it.
         self._era_start = NO_REVISION
         self._former_end: StoreRevision | None = None
@@ -92,6 +91,11 @@
         """All objects."""
         return list(self._objects.values())
 
+    @property
+    def history_bytes(self) -> int:
+        """Bytes of JSON that the history keeps beside the objects."""
+        return self._history.kept_bytes
+
     def apply_listing(self, listing: ObjectListing, *, from_peer: bool = False) -> bool:
         """Replace all objects; return False if the replica is newer than the listing.
 
@@ -125,7 +129,7 @@
                 # The event carries the revision of the object, not of its deletion.
                 self._change_revision = max(self._change_revision, changes.revision)
             self._change_revision = max(self._change_revision, event.object.revision)
-            self._delete(event.object.name)
+            self._delete(event.object.name, event.object)
         if changes.names is not None:
             lost = self._delete_unlisted(changes.names, changes.revision, restored=restored)
         if restored:
@@ -140,7 +144,7 @@
         if revision.era == self._revision.era:
             if self._former_end is not None and revision < self._era_start:
                 return self._changes_by_objects(revision)
-            if revision < self._history_start:
+            if revision < self._history.start:
                 return None
             return ObjectChanges(self._change_revision, self._events_since(revision))
         return self._changes_since_former_era(revision)
@@ -159,18 +163,18 @@
         former_end = self._former_end
         if former_end is None or revision.era != former_end.era:
             return None
-        if not self._history_start <= revision <= former_end:
+        if not self._history.start <= revision <= former_end:
             return None
         events = self._events_since(revision)
         return ObjectChanges(self._change_revision, events, frozenset(self._objects))
 
     def _events_since(self, revision: StoreRevision) -> tuple[ObjectEvent, ...]:
-        return tuple(event for changed_at, event in self._history if changed_at > revision)
+        return self._history.events_since(revision, self._objects)
 
     def _begin_history(self, revision: StoreRevision) -> None:
         """Begin the history at the first listing; deletions before it are unknown."""
         self._first_era = revision.era
-        self._history_start = revision
+        self._history.start = revision
         self._change_revision = StoreRevision(revision.era, 0)
 
     def _begin_era_if_restored(self, revision: StoreRevision) -> bool:
@@ -216,11 +220,6 @@
             self._delete(name)
         return len(unlisted)
 
-    def _append_history(self, revision: StoreRevision, event: ObjectEvent) -> None:
-        self._history.append((revision, event))
-        if len(self._history) > _MAX_HISTORY:
-            self._history_start = max(self._history_start, self._history.popleft()[0])
-
     def _put(self, stored: StoredObject) -> bool:
         """Apply an object; return whether it changes the one that is known."""
         known = self._objects.get(stored.name)
@@ -231,8 +230,8 @@
         self._objects[stored.name] = stored
         if known is not None and _unchanged_by_restore(stored, known):
             return False
-        self._append_history(stored.revision, ObjectEvent(stored, deleted=False))
-        self._handler.on_put(stored)
+        accepted = self._handler.on_put(stored)
+        self._history.record_put(stored, stored.revision, known, accepted=accepted)
         return True
 
     def _log_passed_over(self, stored: StoredObject, known: StoredObject) -> None:
@@ -245,10 +244,19 @@
                 revision=stored.revision,
             )
 
-    def _delete(self, name: str) -> None:
+    def _delete(self, name: str, deleted: StoredObject | None = None) -> None:
+        """Delete an object.
+
+        An unknown one was created and deleted since the last change that this VM had; other VMs may
+        have seen it between.
+
+        :param deleted: the object in the event of the deletion, if there was one
+        """
         known = self._objects.pop(name, None)
+        former = known or deleted
+        if former is not None:
+            self._history.record_deletion(former, self._change_revision)
         if known is not None:
-            self._append_history(self._change_revision, ObjectEvent(known, deleted=True))
             self._handler.on_delete(name)
 
 
--- a/packages/gateway/tests/test_object_applier.py
+++ b/packages/gateway/tests/test_object_applier.py
@@ -5,11 +5,12 @@
 from datetime import timedelta
 
 import pytest
-from gateway_builders import listing, new_state, stored, target
+from gateway_builders import at, configuration, listing, new_state, route, stored, target
 
 from carawayquay.clock import ManualClock
 from carawayquay.load_reports import WarmObject, short_hash
 from carawayquay_gateway.state_dump import dump_state
+from carawayquay_platform.object_changes import ObjectChanges, ObjectEvent
 from carawayquay_platform.objects import ObjectKind
 
 
@@ -107,3 +108,37 @@
     _list(state, 30, "t2")
     state.merge_warm_objects([WarmObject(short_hash("t2"), 7)])
     assert state.warm_objects.warm("t2", 7)
+
+
+# Guards against a follower that stays at an older version, since a refused one or a deletion
+# follows the one in force.
+@pytest.mark.parametrize(
+    "then", ["refused", "not understood", "older", "deleted", "refused and deleted"]
+)
+def test_vm_that_follows_puts_the_version_in_force_into_force(then):
+    leader, follower = new_state(), new_state()
+    _change_configuration(leader, 31, configuration(route(service="sledway"), version=5))
+    if "refused" in then:
+        _change_configuration(leader, 32, "no configuration")
+    if then == "not understood":
+        _change_configuration(leader, 32, configuration({"path_prefix": "/reports/"}, version=6))
+    if then == "older":
+        _change_configuration(leader, 32, configuration(version=4))
+    if "deleted" in then:
+        _change_configuration(leader, 33, {}, deleted=True)
+    replica = follower.replicas[ObjectKind.CONFIGURATION]
+    changes = leader.replicas[ObjectKind.CONFIGURATION].changes_since(replica.revision)
+    replica.apply_changes(changes)
+    version = 6 if then == "not understood" else 5
+    assert leader.configuration.version == follower.configuration.version == version
+    moved = [
+        state.configuration.find("stones.example", "/reports/7") for state in (leader, follower)
+    ]
+    assert [found.services[0].service for found in moved] == ["sledway"] * 2
+    assert replica.changes_since(at(20)).events == changes.events
+
+
+def _change_configuration(state, revision, spec, *, deleted=False):
+    event = ObjectEvent(stored("main", spec, revision), deleted=deleted)
+    changes = ObjectChanges(at(revision), (event,))
+    state.replicas[ObjectKind.CONFIGURATION].apply_changes(changes)
--- a/packages/gateway/tests/test_watcher.py
+++ b/packages/gateway/tests/test_watcher.py
@@ -91,6 +91,23 @@
     run(check)
 
 
+# Guards against a VM that takes missed changes which are too large together for an outage.
+def test_changes_that_are_too_large_together_are_replaced_by_a_listing_at_once():
+    async def check():
+        store = await _filled()
+        state = await _started(store)
+        await until(lambda: state.ready)
+        store.faults.silent = True
+        for version in range(4, 24):
+            much = configuration(version=version) | {"comment": "x" * 900_000}
+            await store.put("config", "main", much)
+        store.faults.silent = False
+        await until(lambda: state.configuration.version == 23)
+        assert state.store_history.failed_at is None
+
+    run(check)
+
+
 @pytest.mark.parametrize(
     "fault", [{"down": True}, {"refuse_status": 503}, {"refuse_status": 429}, {"silent": True}]
 )
--- a/packages/wire/src/carawayquay_wire/http_connection.py
+++ b/packages/wire/src/carawayquay_wire/http_connection.py
@@ -53,6 +53,7 @@
     :param fresh: whether the connection was new, and not reused
     :param refused: whether the server's host refused the TCP connection
     :param timed_out: whether the exchange or the opening of its connection timed out
+    :param too_large: whether the body of the response exceeded the limit
     """
 
     reason: str
@@ -60,6 +61,7 @@
     fresh: bool = True
     refused: bool = False
     timed_out: bool = False
+    too_large: bool = False
 
     def __str__(self) -> str:
         return self.reason
@@ -250,7 +252,7 @@
 
     def _too_large(self) -> HttpError:
         reason = f"{self._address}: response body exceeds {self._max_body_bytes} bytes"
-        return HttpError(reason, sent=True, fresh=self.fresh)
+        return HttpError(reason, sent=True, fresh=self.fresh, too_large=True)
 
 
 def _checked_status(head: h11.Response) -> h11.Response:
