Read no more changes of the store at once than two of the largest objects

Change: a response with changes may have 2 MiB and some room; larger ones count as lost history, so that the VM lists. Listings keep the limit of 8 MiB.

--- a/packages/wire/src/carawayquay_wire/http_client.py
+++ b/packages/wire/src/carawayquay_wire/http_client.py
@@ -78,6 +78,7 @@
         max_idle: timedelta = MAX_IDLE_TIME,
         response_matches: ResponseMatcher | None = None,
         abandonable: bool = False,
+        max_body_bytes: int | None = None,
     ) -> HttpResponse:
         """Send a request to a server and return its response.
 
@@ -87,6 +88,7 @@
         :param max_idle: how long a reused connection may have been idle
         :param response_matches: as for :meth:`HttpConnection.exchange`
         :param abandonable: whether :meth:`abandon` ends the exchange
+        :param max_body_bytes: the limit of the response's body, if lower than that of all
         :raises HttpError: if no complete response within the limits arrives in time
         """
         connection = None if fresh else await self._take_idle(address, max_idle)
@@ -99,7 +101,7 @@
                     connection = await self._dial(address)
                 if abandonable:
                     self._abandonable.add(connection)
-                response = await connection.exchange(request, response_matches)
+                response = await connection.exchange(request, response_matches, max_body_bytes)
                 completed = True
                 return response
         except curio.TaskTimeout:
--- a/packages/wire/src/carawayquay_wire/http_connection.py
+++ b/packages/wire/src/carawayquay_wire/http_connection.py
@@ -83,7 +83,7 @@
     ) -> None:
         self._sock = sock
         self._address = address
-        self._max_body_bytes = max_body_bytes
+        self._max_body_bytes = self._body_limit = max_body_bytes
         self._body_budget = body_budget or BodyBudget(max_body_bytes)
         self._h11 = h11.Connection(h11.CLIENT)
         self._exchange_count = 0
@@ -108,16 +108,21 @@
         return is_readable(self._sock)
 
     async def exchange(
-        self, request: HttpRequest, response_matches: ResponseMatcher | None = None
+        self,
+        request: HttpRequest,
+        response_matches: ResponseMatcher | None = None,
+        max_body_bytes: int | None = None,
     ) -> HttpResponse:
         """Send a request and return its response.
 
         :param response_matches: called with the request, a response and whether the connection is
             fresh; returns whether the response belongs to the request. Other responses are skipped.
+        :param max_body_bytes: the limit of the response's body, if lower than that of all
         :raises HttpError: if the connection fails before the response is complete, or its body
             exceeds the limit
         """
         fresh = self._exchange_count == 0
+        self._body_limit = min(self._max_body_bytes, max_body_bytes or self._max_body_bytes)
         self._head_request = request.method == "HEAD"
         self._exchange_count += 1
         self._reusable = False
@@ -212,7 +217,7 @@
     async def _receive_with_reservation(self, reservation: Reservation) -> HttpResponse:
         head = await self._receive_head()
         length = 0 if self._head_request else _content_length(head)
-        if length is not None and length > self._max_body_bytes:
+        if length is not None and length > self._body_limit:
             raise self._too_large()
         await reservation.grow_to(length or 0)
         body = bytearray()
@@ -227,10 +232,10 @@
             if not isinstance(event, h11.Data):
                 raise OSError("connection closed within the response")
             size = len(body) + len(event.data)
-            if size > self._max_body_bytes:
+            if size > self._body_limit:
                 raise self._too_large()
             if length is None:
-                await reservation.grow_with(size, self._max_body_bytes)
+                await reservation.grow_with(size, self._body_limit)
             await chunks.add(event, size)
             body += event.data
 
@@ -251,7 +256,7 @@
         return event
 
     def _too_large(self) -> HttpError:
-        reason = f"{self._address}: response body exceeds {self._max_body_bytes} bytes"
+        reason = f"{self._address}: response body exceeds {self._body_limit} bytes"
         return HttpError(reason, sent=True, fresh=self.fresh, too_large=True)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -367,3 +367,25 @@
             await client.watch(KIND, StoreRevision(0, 1), WAIT)
 
     curio.run(check)
+
+
+_LARGEST_OBJECT_BYTES = 1024 * 1024 - 200
+
+
+# Guards against a VM that reads everything at once which it has missed.
+def test_changes_larger_than_two_objects_count_as_lost_history_and_can_be_listed():
+    async def check(store, client):
+        before = StoreRevision(store.era, store.revision)
+        for count in range(1, 4):
+            await store.put(KIND.value, "a", {"n": count, "text": "x" * _LARGEST_OBJECT_BYTES})
+            if count < 3:
+                assert len((await client.changes(KIND, before)).events) == count
+        with pytest.raises(HistoryLostError):
+            await client.changes(KIND, before)
+        with pytest.raises(HistoryLostError):
+            await client.watch(KIND, before, WAIT)
+        with pytest.raises(HistoryLostError):
+            await client.pull(KIND, before)
+        assert [item.value["n"] for item in (await client.list(KIND)).objects] == [3]
+
+    _with_store(check)
