Count a second crash of a target whose registration is not renewed yet

Change: an observation within a second of a crash of the same target is the same crash, a later one is another. A count without times is dated so that it adds nothing to crashes of the last 120 s that are known, since it may be the same.

Evidence: test_target_that_is_back_under_its_former_registration_may_crash_again failed before.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -23,8 +23,9 @@
 #: Time since a crash after which it is not counted any more.
 _LIFETIME = timedelta(seconds=120)
 
-#: Assumed time from a crash until a VM of a version that reports no times has told of it.
-_UNTIMED_REPORT_AGE = timedelta(seconds=10)
+#: Time after a crash of a target in which another observation of it is the same crash: it takes
+#: longer until the target is back, also where its registration is not renewed yet.
+_SAME_CRASH = timedelta(seconds=1)
 
 #: Stands for the target in a crash that was reported without one.
 _UNKNOWN_TARGET = 0
@@ -52,7 +53,7 @@
 class TargetCrash:
     """A crash of a target while it held a request.
 
-    :param target: hash of the target's name and incarnation, which can crash only once
+    :param target: hash of the target's name and incarnation
     :param began_at: when the request was sent to the target
     :param ended_at: when its connection broke
     """
@@ -66,7 +67,7 @@
 class _Entry:
     """What is known of the requests with one fingerprint.
 
-    :param crashes: the latest crashes since then, one for each target
+    :param crashes: the latest crashes since then, without repetitions
     :param row: those of them that count, each of which began after the end of the one before
     :param completed_at: when such a request completed last, if that was noticed
     :param known_count: the highest count that any VM may have from these crashes
@@ -82,7 +83,7 @@
         """Add a crash, unless such a request has completed since."""
         if self.completed_at is not None and crash.ended_at <= self.completed_at:
             return
-        self._set_crashes(_first_for_each_target([*self.crashes, crash])[-_MAX_CRASHES_KEPT:])
+        self._set_crashes(_without_repetitions([*self.crashes, crash])[-_MAX_CRASHES_KEPT:])
         self.known_count = max(self.known_count, len(self.row))
         self.expires_at = max(self.expires_at, crash.ended_at + _LIFETIME)
 
@@ -213,12 +214,16 @@
             del self._entries[key]
 
 
-def _first_for_each_target(crashes: Iterable[TargetCrash]) -> list[TargetCrash]:
-    """Return crashes by their end, of each target the one that was noticed first."""
-    first: dict[int, TargetCrash] = {}
+def _without_repetitions(crashes: Iterable[TargetCrash]) -> list[TargetCrash]:
+    """Return crashes by their end, and of the observations of one crash the first."""
+    first: list[TargetCrash] = []
+    ended_at: dict[int, timedelta] = {}
     for crash in sorted(crashes, key=lambda it: it.ended_at):
-        first.setdefault(crash.target, crash)
-    return list(first.values())
+        last = ended_at.get(crash.target)
+        if last is None or crash.began_at >= last + _SAME_CRASH:
+            ended_at[crash.target] = crash.ended_at
+            first.append(crash)
+    return first
 
 
 def _in_a_row(crashes: Iterable[TargetCrash]) -> tuple[TargetCrash, ...]:
@@ -239,9 +244,9 @@
     """Return the crash that is known from a count without times.
 
     Counts of the versions that send them grow with each request that a crashed target was running,
-    so that a higher count proves no more than one crash.
+    so that a higher count proves no more than one crash, at a time that is not known.
     """
-    return TargetCrash(_UNKNOWN_TARGET, now - _UNTIMED_REPORT_AGE, now)
+    return TargetCrash(_UNKNOWN_TARGET, now - _LIFETIME, now)
 
 
 def _read_crash(crash: ReportedCrash, now: timedelta) -> TargetCrash:
--- a/packages/core/tests/test_crash_counts.py
+++ b/packages/core/tests/test_crash_counts.py
@@ -118,6 +118,14 @@
         counts.record_completion(1, now + timedelta(seconds=3))
 
 
+def test_target_that_is_back_under_its_former_registration_may_crash_again():
+    counts = CrashCounts()
+    for began in (0, 3, 6):
+        counts.record_crash(1, crash("t0", began, began + 0.5), NOW)
+        counts.record_crash(1, crash("t0", began + 0.6, began + 0.7), NOW)
+    assert counts.refused(1, NOW)
+
+
 def test_crash_after_a_completion_counts_at_a_vm_that_hears_of_both():
     here, there = CrashCounts(), CrashCounts()
     here.record_crash(1, crash("t0", 0, 1), NOW)
