Forget connections that their clients reset while they linger

Change: a connection is forgotten at its end, whatever ended it. What ends a socket stands in one module, socket_closing, in place of three.

Evidence: test_connection_that_its_client_resets_while_it_lingers_is_forgotten; it was written with the change.

--- a/packages/wire/src/carawayquay_wire/http_connection.py
+++ b/packages/wire/src/carawayquay_wire/http_connection.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from contextlib import suppress
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
@@ -15,6 +13,7 @@
 from carawayquay_wire.body_budget import SMALL_BODY_BYTES, BodyBudget
 from carawayquay_wire.chunk_limit import ChunkLimit
 from carawayquay_wire.http import HttpRequest, HttpResponse
+from carawayquay_wire.socket_closing import reset_on_close, shut_down
 from carawayquay_wire.socket_readiness import is_readable
 
 if TYPE_CHECKING:
@@ -32,9 +31,6 @@
 #: Larger request bodies are sent separately from the head, so that they are not copied.
 _MAX_COPIED_BODY_BYTES = 64 * 1024
 
-#: Value of ``SO_LINGER`` with which a close resets the connection and drops its unsent bytes.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
 #: Highest status of HTTP. The parser takes any three digits, and refuses those below 100 itself.
 _MAX_STATUS = 599
 
@@ -155,16 +151,14 @@
         request later, for example once a cut link has healed.
         """
         self._reusable = False
-        with suppress(OSError):
-            if self._awaiting_response:
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        if self._awaiting_response:
+            reset_on_close(self._sock)
         with suppress(OSError):
             await self._sock.close()
 
     async def shut_down(self) -> None:
         """End the connection, also for an exchange that waits for its response."""
-        with suppress(OSError):
-            await self._sock.shutdown(socket.SHUT_RDWR)
+        await shut_down(self._sock)
 
     async def _send(self, request: HttpRequest) -> None:
         """Send a request, a large body without copying it."""
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -18,7 +18,7 @@
 from carawayquay_wire.events import Event, EventLog
 from carawayquay_wire.http import HttpLimits, HttpRequest, HttpResponse
 from carawayquay_wire.idle_connections import IdleConnections
-from carawayquay_wire.lingering import LingeringConnections, discard_input, unacknowledged_bytes
+from carawayquay_wire.lingering import LingeringConnections
 from carawayquay_wire.request_reading import (
     RejectedError,
     check_head,
@@ -28,6 +28,7 @@
 )
 from carawayquay_wire.response_encoding import encode_response
 from carawayquay_wire.response_sending import ResponseSender, can_respond
+from carawayquay_wire.socket_closing import discard_input, unacknowledged_bytes
 from carawayquay_wire.socket_readiness import is_readable
 
 if TYPE_CHECKING:
@@ -157,8 +158,9 @@
             pass
         finally:
             self._open_count -= 1
-            self._sender.close(sock)
             self._idle.remove(sock)
+            self._lingering.remove(sock)
+            self._sender.close(sock)
 
     async def _serve_requests(
         self, sock: Any, connection: h11.Connection, held: ConnectionBytes
--- a/packages/wire/src/carawayquay_wire/idle_connections.py
+++ b/packages/wire/src/carawayquay_wire/idle_connections.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import socket
 import time
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
 from carawayquay_wire.connection_ends import ConnectionEnd
-from carawayquay_wire.lingering import unacknowledged_bytes
+from carawayquay_wire.socket_closing import shut_down, unacknowledged_bytes
 from carawayquay_wire.socket_readiness import is_readable
 
 if TYPE_CHECKING:
@@ -92,6 +90,5 @@
         self._on_end(cause)
         if unacknowledged_bytes(sock):
             await self._lingering.start(sock, held, linger_seconds)
-            return
-        with suppress(OSError):
-            await sock.shutdown(socket.SHUT_RDWR)
+        else:
+            await shut_down(sock)
--- a/packages/wire/src/carawayquay_wire/lingering.py
+++ b/packages/wire/src/carawayquay_wire/lingering.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import fcntl
 import socket
-import struct
-import termios
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -13,12 +10,17 @@
 import attrs
 import curio
 
+from carawayquay_wire.socket_closing import (
+    discard_input,
+    reset_on_close,
+    shut_down,
+    unacknowledged_bytes,
+)
+
 if TYPE_CHECKING:
     from carawayquay_wire.connection_budget import ConnectionBudget, ConnectionBytes
 
-__all__ = ["LingeringConnections", "discard_input", "reset_on_close", "unacknowledged_bytes"]
-
-_READ_BYTES = 65536
+__all__ = ["LingeringConnections"]
 
 #: Interval at which the lingering connections are looked at.
 _WATCH_SECONDS = 0.1
@@ -26,11 +28,6 @@
 #: How long a client that has received everything may take to close the connection itself.
 _RECEIVED_SECONDS = 0.5
 
-#: Value of ``SO_LINGER`` with which a close resets the connection and drops its unsent bytes.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-
-_INT = struct.Struct("i")
-
 
 @attrs.define
 class _Lingering:
@@ -81,17 +78,18 @@
             await curio.spawn(self._watch, daemon=True)
 
     async def finish(self, sock: Any) -> bool:
-        """Discard what arrives until the connection ends; return whether the client got everything.
+        """Discard what arrives until the connection ends; return False if its time was over.
 
         A client that closes its side may still receive the rest, which the kernel delivers.
         """
-        try:
-            await discard_input(sock)
-        finally:
-            lingering = self._lingering.pop(sock, None)
-            if lingering is not None:
-                self._budget.end_answer(lingering.held)
-        return lingering is None or time.monotonic() < lingering.ends_at
+        await discard_input(sock)
+        return time.monotonic() < self._lingering[sock].ends_at
+
+    def remove(self, sock: Any) -> None:
+        """Forget a connection, which may not linger."""
+        lingering = self._lingering.pop(sock, None)
+        if lingering is not None:
+            self._budget.end_answer(lingering.held)
 
     async def _watch(self) -> None:
         """Shut down the connections that need not wait any longer."""
@@ -100,7 +98,7 @@
             now = time.monotonic()
             for sock, lingering in list(self._lingering.items()):
                 if self._may_end(sock, lingering, now):
-                    await _shut_down(sock)
+                    await shut_down(sock)
         self._watching = False
 
     def _may_end(self, sock: Any, lingering: _Lingering, now: float) -> bool:
@@ -115,30 +113,3 @@
         if lingering.received_at is None:
             lingering.received_at = now
         return now - lingering.received_at >= _RECEIVED_SECONDS
-
-
-def unacknowledged_bytes(sock: Any) -> int:
-    """Return how many sent bytes the other end has not acknowledged, 0 if it is not known."""
-    try:
-        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_INT.size))
-    except (OSError, ValueError):
-        return 0
-    return _INT.unpack(answer)[0]
-
-
-def reset_on_close(sock: Any) -> None:
-    """Let the close of a socket reset the connection, so that the kernel frees what is unsent."""
-    with suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-
-
-async def discard_input(sock: Any) -> None:
-    """Read and discard what arrives until the other end closes, or the connection fails."""
-    with suppress(OSError):
-        while await sock.recv(_READ_BYTES):
-            pass
-
-
-async def _shut_down(sock: Any) -> None:
-    with suppress(OSError):
-        await sock.shutdown(socket.SHUT_RDWR)
--- a/packages/wire/src/carawayquay_wire/response_sending.py
+++ b/packages/wire/src/carawayquay_wire/response_sending.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import socket
 import time
-from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import h11
 
 from carawayquay_wire.body_budget import SMALL_BODY_BYTES
 from carawayquay_wire.connection_ends import ConnectionEnd
-from carawayquay_wire.lingering import reset_on_close
 from carawayquay_wire.response_encoding import encode_head, encode_response
+from carawayquay_wire.socket_closing import reset_on_close, shut_down
 
 if TYPE_CHECKING:
     from carawayquay_wire.connection_budget import ConnectionBudget, ConnectionBytes
@@ -110,7 +108,7 @@
         :param min_read_bytes_per_s: rate at which a client has to read, 0 for none
         """
         for sock in [sock for sock, deadline in self._deadlines.items() if deadline <= now]:
-            await _shut_down(sock)
+            await shut_down(sock)
         if not min_read_bytes_per_s:
             return
         for sock, held in list(self._held.items()):
@@ -132,14 +130,9 @@
         """
         self._end_causes[sock] = cause
         reset_on_close(sock)
-        await _shut_down(sock)
+        await shut_down(sock)
 
 
 def can_respond(connection: h11.Connection) -> bool:
     """Return whether a response can be sent in the state of a connection."""
     return connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
-
-
-async def _shut_down(sock: Any) -> None:
-    with suppress(OSError):
-        await sock.shutdown(socket.SHUT_RDWR)
--- a/packages/wire/tests/test_last_answers.py
+++ b/packages/wire/tests/test_last_answers.py
@@ -15,6 +15,7 @@
 from carawayquay_wire.connection_ends import ConnectionEnd
 from carawayquay_wire.http import HttpResponse
 from carawayquay_wire.http_server import HttpServer
+from carawayquay_wire.socket_closing import reset_on_close
 
 _GET = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
 _CLOSING_GET = b"GET /a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
@@ -200,3 +201,24 @@
 
     limits = attrs.evolve(_LIMITS, write_seconds=20.0, min_read_bytes_per_s=50_000.0)
     _run(check, limits=limits)
+
+
+# Guards against a server that goes on looking at connections which have ended.
+@pytest.mark.parametrize("how", ["drain", "announce"])
+def test_connection_that_its_client_resets_while_it_lingers_is_forgotten(how):
+    async def check(site):
+        if how == "announce":
+            site.server.announce_close()
+        await site.client.sendall(_GET)
+        await curio.sleep(_IDLE_SECONDS)
+        if how == "drain":
+            await site.server.drain()
+        assert budget.used > 0
+        reset_on_close(site.client)
+        await site.client.close()
+        await site.until_closed(1.0)
+        assert not site.server._lingering._lingering
+        assert budget.used == 0
+
+    budget = ConnectionBudget(10 * _BODY_BYTES)
+    _run(check, budget=budget)
