Take over each crash from reports once, and let what is over be forgotten

Change: of the crashes of one target that are reported, the earliest date stands, and those before a completion stay cleared. Reports of crashes older than 110 s and completions alone make no new entry. VMs of the build before are not told what they have told.

Evidence: test_reports_that_are_read_late_add_no_crash, test_vms_forget_a_request_also_while_they_tell_each_other_of_it and test_vm_of_the_build_before_is_not_told_what_it_has_told failed before.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -23,10 +23,14 @@
 #: Time since a crash after which it is not counted any more.
 _LIFETIME = timedelta(seconds=120)
 
-#: Time after a crash of a target in which another observation of it is the same crash: it takes
-#: longer until the target is back, also where its registration is not renewed yet.
+#: Time after a crash of a target in which another observation of this VM is the same crash. It
+#: takes longer until the target is back, also where its registration is not renewed yet.
 _SAME_CRASH = timedelta(seconds=1)
 
+#: Age up to which a crash is taken over from a report. Without the margin, VMs could tell each
+#: other of a crash again and again, as each learns of it a little later.
+_MAX_REPORTED_AGE = _LIFETIME - timedelta(seconds=10)
+
 #: Stands for the target in a crash that was reported without one.
 _UNKNOWN_TARGET = 0
 
@@ -70,6 +74,7 @@
     :param crashes: the latest crashes since then, without repetitions
     :param row: those of them that count, each of which began after the end of the one before
     :param completed_at: when such a request completed last, if that was noticed
+    :param cleared: hashes of the targets of earlier crashes
     :param known_count: the highest count that any VM may have from these crashes
     """
 
@@ -77,25 +82,49 @@
     crashes: tuple[TargetCrash, ...] = ()
     row: tuple[TargetCrash, ...] = ()
     completed_at: timedelta | None = None
+    cleared: tuple[int, ...] = ()
     known_count: int = 0
 
-    def add_crash(self, crash: TargetCrash) -> None:
-        """Add a crash, unless such a request has completed since."""
-        if self.completed_at is not None and crash.ended_at <= self.completed_at:
+    def add_observed(self, crash: TargetCrash) -> None:
+        """Add a crash that this VM saw, unless it is known or such a request completed since."""
+        for known in self.crashes:
+            if known.target == crash.target and crash.began_at < known.ended_at + _SAME_CRASH:
+                return
+        self._add(crash)
+
+    def add_reported(self, crash: TargetCrash) -> None:
+        """Add a crash that another VM reports, unless any crash of the target is known.
+
+        A report that was held up dates a crash too late, so that the earliest date is right.
+        """
+        if crash.target in self.cleared:
             return
-        self._set_crashes(_without_repetitions([*self.crashes, crash])[-_MAX_CRASHES_KEPT:])
-        self.known_count = max(self.known_count, len(self.row))
-        self.expires_at = max(self.expires_at, crash.ended_at + _LIFETIME)
+        known = next((it for it in self.crashes if it.target == crash.target), None)
+        if known is not None and crash.ended_at >= known.ended_at:
+            return
+        self._set_crashes([it for it in self.crashes if it is not known])
+        self._add(crash)
 
     def add_completion(self, completed_at: timedelta) -> None:
         """Drop the crashes before a completed request."""
-        if self.completed_at is None or completed_at > self.completed_at:
-            self.completed_at = completed_at
-            self._set_crashes([it for it in self.crashes if it.ended_at > completed_at])
+        if self.completed_at is not None and completed_at <= self.completed_at:
+            return
+        self.completed_at = completed_at
+        ended = tuple(it.target for it in self.crashes if it.ended_at <= completed_at)
+        self.cleared = (*self.cleared, *ended)[-_MAX_CRASHES_KEPT:]
+        self._set_crashes([it for it in self.crashes if it.ended_at > completed_at])
+
+    def _add(self, crash: TargetCrash) -> None:
+        if self.completed_at is not None and crash.ended_at <= self.completed_at:
+            return
+        self._set_crashes([*self.crashes, crash])
+        self.known_count = max(self.known_count, len(self.row))
+        self.expires_at = max(self.expires_at, crash.ended_at + _LIFETIME)
 
     def _set_crashes(self, crashes: list[TargetCrash]) -> None:
-        self.crashes = tuple(crashes)
-        self.row = _in_a_row(crashes)
+        latest = sorted(crashes, key=lambda it: it.ended_at)[-_MAX_CRASHES_KEPT:]
+        self.crashes = tuple(latest)
+        self.row = _in_a_row(latest)
 
 
 class CrashCounts:
@@ -132,7 +161,7 @@
         entry = self._entry(fingerprint, now)
         if entry is None:
             return 0
-        entry.add_crash(crash)
+        entry.add_observed(crash)
         return len(entry.row)
 
     def record_completion(self, fingerprint: int, now: timedelta) -> None:
@@ -158,29 +187,40 @@
                 self._merge_count(count, now)
 
     def _merge_suspect(self, report: SuspectReport, now: timedelta) -> None:
-        entry = self._entry(report.fingerprint, now)
+        """Merge a report; one without recent crashes says something of known ones only."""
+        crashes = [
+            _read_crash(crash, now)
+            for crash in report.crashes
+            if crash.ended_ms * _MILLISECOND < _MAX_REPORTED_AGE
+        ]
+        if crashes:
+            entry = self._entry(report.fingerprint, now)
+        else:
+            entry = self._entries.get(report.fingerprint)
         if entry is None:
             return
         if report.completed_ms is not None:
             entry.add_completion(now - report.completed_ms * _MILLISECOND)
-        for crash in report.crashes:
-            if crash.ended_ms * _MILLISECOND < _LIFETIME:
-                entry.add_crash(_read_crash(crash, now))
+        for crash in crashes:
+            entry.add_reported(crash)
 
     def _merge_count(self, report: CrashReport, now: timedelta) -> None:
         """Add a crash if another VM's count, without times, is higher than what is known."""
         entry = self._entry(report.fingerprint, now)
         if entry is not None and report.crashes > entry.known_count:
             entry.known_count = report.crashes
-            entry.add_crash(_untimed_crash(now))
+            entry.add_reported(_untimed_crash(now))
 
     def reports(self, now: timedelta) -> tuple[CrashReport, ...]:
-        """Return the most recent counts, for VMs of versions that know no suspects."""
-        return tuple(
-            CrashReport(fingerprint, len(entry.row))
+        """Return the most recent counts, for VMs of versions that know no suspects.
+
+        What those VMs have told is left out, so that it does not come back to them.
+        """
+        counted = [
+            (fingerprint, sum(it.target != _UNKNOWN_TARGET for it in entry.row))
             for fingerprint, entry in self._latest(now)
-            if entry.row
-        )
+        ]
+        return tuple(CrashReport(*item) for item in counted if item[1])
 
     def suspect_reports(self, now: timedelta) -> tuple[SuspectReport, ...]:
         """Return what other VMs are told: the latest crashes first, then the cleared ones."""
@@ -214,18 +254,6 @@
             del self._entries[key]
 
 
-def _without_repetitions(crashes: Iterable[TargetCrash]) -> list[TargetCrash]:
-    """Return crashes by their end, and of the observations of one crash the first."""
-    first: list[TargetCrash] = []
-    ended_at: dict[int, timedelta] = {}
-    for crash in sorted(crashes, key=lambda it: it.ended_at):
-        last = ended_at.get(crash.target)
-        if last is None or crash.began_at >= last + _SAME_CRASH:
-            ended_at[crash.target] = crash.ended_at
-            first.append(crash)
-    return first
-
-
 def _in_a_row(crashes: Iterable[TargetCrash]) -> tuple[TargetCrash, ...]:
     """Return the longest row of crashes that each began after the end of the one before.
 
@@ -259,6 +287,7 @@
     crashes = tuple(
         ReportedCrash(it.target, _age_ms(it.began_at, now), _age_ms(it.ended_at, now))
         for it in entry.row
+        if it.target != _UNKNOWN_TARGET
     )
     completed_ms = None if entry.completed_at is None else _age_ms(entry.completed_at, now)
     return SuspectReport(fingerprint, crashes, completed_ms)
--- a/packages/core/tests/test_crash_counts.py
+++ b/packages/core/tests/test_crash_counts.py
@@ -213,3 +213,41 @@
     assert len(counts.reports(NOW)) <= 16
     assert len(counts.suspect_reports(NOW)) <= 16
     assert counts.record_crash(9999, crash(), NOW) == 0
+
+
+# Guards against a crash that counts again with each report that a frozen VM reads late.
+def test_reports_that_are_read_late_add_no_crash():
+    here, there = CrashCounts(), CrashCounts()
+    here.record_crash(1, crash("t0", 0, 1), NOW)
+    reports = [here.suspect_reports(NOW + timedelta(seconds=number)) for number in range(20)]
+    woken = NOW + timedelta(seconds=25)
+    for report in reports:
+        there.merge((), report, woken)
+        assert there.count(1, woken) == 1
+    there.record_completion(1, woken)
+    there.merge((), reports[0], woken + timedelta(seconds=5))
+    assert not there.is_suspect(1, woken + timedelta(seconds=5))
+
+
+# Guards against VMs that tell each other of what is over for ever.
+@pytest.mark.parametrize("completed", [True, False])
+def test_vms_forget_a_request_also_while_they_tell_each_other_of_it(completed):
+    vms = [CrashCounts() for _ in range(3)]
+    vms[0].record_crash(1, crash("t0", 4, 5), NOW)
+    vms[0].merge([CrashReport(2, 3)], (), NOW)
+    delay = timedelta(seconds=0.1)
+    for step in range(3000):
+        now = NOW + step * delay
+        here, there = vms[step % 3], vms[(step + 1) % 3]
+        crashes, suspects = here.reports(now), here.suspect_reports(now)
+        there.merge(crashes, suspects, now + delay)
+        if completed and step == 30:
+            there.record_completion(1, now)
+    assert not any(vm.suspect_reports(now) for vm in vms)
+
+
+def test_vm_of_the_build_before_is_not_told_what_it_has_told():
+    counts = CrashCounts()
+    counts.merge([CrashReport(1, 3)], (), NOW)
+    assert counts.is_suspect(1, NOW)
+    assert counts.reports(NOW) == ()
