--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -13,7 +13,6 @@
 from carawayquay.placement import NoCapacity
 from carawayquay.retry_times import limited_retry_after, retry_after
 from carawayquay.routes import Route, UnreadRoutes
-from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.answers import CallerAnswers
 from carawayquay_gateway.authentication import (
     Authenticated,
@@ -29,6 +28,7 @@
     RequestCrashesTargets,
     Unanswered,
 )
+from carawayquay_gateway.service_choices import ServiceChoices
 from carawayquay_platform import headers
 from carawayquay_wire.events import Event, EventLog
 
@@ -99,8 +99,7 @@
         self._crashes = crashes
         self._random = random
         self._answers = CallerAnswers(state)
-        self._service_choices: dict[str, tuple[Route, WeightedChoice]] = {}
-        self._choices_version: int | None = None
+        self._service_choices = ServiceChoices(random)
         self._active = 0
 
     @property
@@ -167,7 +166,7 @@
         caller = authenticate(call, route, configuration)
         if isinstance(caller, AuthenticationFailed):
             return self._authentication_error(call, route, configuration, caller)
-        exchange = self._new_exchange(caller, configuration.version, now)
+        exchange = self._new_exchange(caller, configuration, now)
         stop = state.planned_stop
         if stop is not None and not stop.admits(exchange.deadline, now):
             return self._answers.exchange_error(
@@ -177,16 +176,18 @@
             return self._crash_error(exchange)
         return _Admitted(exchange, caller.organisation)
 
-    def _new_exchange(self, caller: Authenticated, version: int, now: timedelta) -> Exchange:
+    def _new_exchange(
+        self, caller: Authenticated, configuration: Configuration, now: timedelta
+    ) -> Exchange:
         """Choose the service of a request, count it, and return its state."""
         call, route = caller.call, caller.route
-        service = self._service_choice(route).next()
+        service = self._service_choices.next(route, configuration)
         self._state.service(service).count_request(now, route.priority)
         self._attempts.count_request()
         remaining = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
         deadline = now + remaining - _ANSWER_MARGIN
         fingerprint = request_fingerprint(call)
-        return Exchange(call, route, service, version, now, deadline, fingerprint)
+        return Exchange(call, route, service, configuration.version, now, deadline, fingerprint)
 
     def _route_error(
         self, call: CallerRequest, route: UnreadRoutes | None, configuration: Configuration
@@ -306,7 +307,7 @@
             return False
         exchange.apply_version(caller.call, caller.route, configuration.version)
         if exchange.service not in {weighted.service for weighted in caller.route.services}:
-            exchange.service = self._service_choice(caller.route).next()
+            exchange.service = self._service_choices.next(caller.route, configuration)
         return True
 
     def _take_retry(self, exchange: Exchange) -> bool:
@@ -386,23 +387,3 @@
         return self._answers.exchange_error(
             exchange, ErrorKind.OVERLOADED, "no target has capacity in time", retry_delay
         )
-
-    def _service_choice(self, route: Route) -> WeightedChoice:
-        """Return the weighted choice among a route's services, rebuilt when they change."""
-        self._forget_removed_routes()
-        known = self._service_choices.get(route.name)
-        if known is not None and known[0].services == route.services:
-            return known[1]
-        choice = WeightedChoice(route.services, self._random.random())
-        self._service_choices[route.name] = (route, choice)
-        return choice
-
-    def _forget_removed_routes(self) -> None:
-        """Forget the choices of routes that the configuration in force does not have."""
-        configuration = self._state.configuration
-        if configuration is None or configuration.version == self._choices_version:
-            return
-        self._choices_version = configuration.version
-        names = {route.name for route in configuration.routes}
-        for name in self._service_choices.keys() - names:
-            del self._service_choices[name]
