--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -18,7 +18,7 @@
 __all__ = ["CrashCounts", "TargetCrash", "request_fingerprint"]
 
 #: Crashes in a row after which requests with the same fingerprint are refused.
-_MAX_ROW = 3
+_MAX_CRASHES_IN_A_ROW = 3
 
 #: Time since a crash after which it is not counted any more.
 _LIFETIME = timedelta(seconds=120)
@@ -71,7 +71,7 @@
 class _Entry:
     """What is known of the requests with one fingerprint.
 
-    :param crashes: the latest crashes since then, without repetitions
+    :param crashes: the latest crashes after the last completion, by their end
     :param row: those of them that count, each of which began after the end of the one before
     :param completed_at: when such a request completed last, if that was noticed
     :param cleared: hashes of the targets of earlier crashes
@@ -142,7 +142,7 @@
 
     def refused(self, fingerprint: int, now: timedelta) -> bool:
         """Return whether requests with a fingerprint are refused for crashing too many targets."""
-        return self.count(fingerprint, now) >= _MAX_ROW
+        return self.count(fingerprint, now) >= _MAX_CRASHES_IN_A_ROW
 
     def is_suspect(self, fingerprint: int, now: timedelta) -> bool:
         """Return whether a request with a fingerprint may have crashed a target."""
@@ -265,7 +265,7 @@
     for crash in crashes:
         if not row or crash.began_at >= row[-1].ended_at:
             row.append(crash)
-    return tuple(row[-_MAX_ROW:])
+    return tuple(row[-_MAX_CRASHES_IN_A_ROW:])
 
 
 def _untimed_crash(now: timedelta) -> TargetCrash:
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -117,6 +117,7 @@
     """The target crashes that requests with one fingerprint may have caused, and what clears them.
 
     :param fingerprint: 64-bit hash of the request
+    :param crashes: the crashes in a row, each of which began after the end of the one before
     :param completed_ms: milliseconds since such a request completed last, or None if none did
     """
 
