Spend nothing on suspects in reports that have none

Cause: each report built and read an empty list, which costs a tenth of encoding and decoding it: encoding 62 us for 58, decoding 70 for 62, building 5 for 2.

Change: the list is written and read only where there is one.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -11,7 +11,7 @@
 from carawayquay.load_reports import CrashReport, ReportedCrash, SuspectReport
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from carawayquay.forwarding import CallerRequest
 
@@ -171,13 +171,15 @@
             entry.add_completion(now)
 
     def merge(
-        self, crashes: Iterable[CrashReport], suspects: Iterable[SuspectReport], now: timedelta
+        self, crashes: Sequence[CrashReport], suspects: Sequence[SuspectReport], now: timedelta
     ) -> None:
         """Merge what another VM reports.
 
         :param crashes: its counts, which are used for what ``suspects`` lacks
         :param suspects: the crashes and completions, empty if its version does not report them
         """
+        if not crashes and not suspects:
+            return
         timed = set()
         for report in suspects:
             timed.add(report.fingerprint)
@@ -232,6 +234,8 @@
 
     def _latest(self, now: timedelta) -> list[tuple[int, _Entry]]:
         """Return the entries to report: with crashes before cleared ones, the latest first."""
+        if not self._entries:
+            return []
         self._expire(now)
 
         def rank(item: tuple[int, _Entry]) -> tuple[bool, timedelta]:
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -126,7 +126,7 @@
 
 def _common_fields(message: LoadReport | DomainSummary) -> dict[str, Any]:
     """Return the schema fields that load reports and domain summaries share."""
-    return {
+    fields: dict[str, Any] = {
         "sender": _identity_fields(message.sender),
         "sequence": message.sequence,
         "revisions": list(message.revisions),
@@ -145,8 +145,10 @@
         "limitsReported": message.limits is not None,
         "era": message.era,
         "version": min(message.version, _MAX_VERSION),
-        "suspects": [_suspect_fields(suspect) for suspect in message.suspects],
     }
+    if message.suspects:
+        fields["suspects"] = [_suspect_fields(suspect) for suspect in message.suspects]
+    return fields
 
 
 def _common_attributes(reader: Any) -> dict[str, Any]:
@@ -169,7 +171,8 @@
         ),
         "era": reader.era,
         "version": reader.version,
-        "suspects": tuple(_read_suspect(item) for item in reader.suspects),
+        # Most reports have none, and access to a list takes a tenth of the time of decoding.
+        "suspects": (tuple(map(_read_suspect, reader.suspects)) if reader._has("suspects") else ()),
     }
 
 
