Count answers by status and by who decided them, and tell how late the event loop is

Lines of unknown routes name the newest version that other VMs have in force, answers_total{status,source} counts all answers, loop_lag_seconds and the line loop-late tell the lag. The daemon's measurement moved to the wire, so that both programs have one. No decision is changed.

--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -97,6 +97,7 @@
     :param load: the load that the target reported, or None
     :param keep_alive_timeout: the target's timeout of idle connections, or None if it sent none
     :param limit: what the answer says about the rate of requests that the target takes
+    :param signed: whether it bears a signature, as each answer of a request that ran does
     """
 
     status: int
@@ -107,3 +108,4 @@
     load: TargetLoad | None
     keep_alive_timeout: timedelta | None
     limit: AnswerLimit = LimitAbsent()
+    signed: bool = True
--- a/packages/daemon/src/carawayquayd/app.py
+++ b/packages/daemon/src/carawayquayd/app.py
@@ -23,6 +23,7 @@
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.links import LinkPool
 from carawayquay_wire.listener import Listener
+from carawayquay_wire.loop_lag import LoopLag
 from carawayquay_wire.signals import StopSignal
 from carawayquay_wire.store import StoreClient
 from carawayquayd.admin import AdminApi
@@ -34,7 +35,6 @@
 from carawayquayd.heartbeats import HeartbeatExchange
 from carawayquayd.lending import LoanExchange
 from carawayquayd.lookups import LookupApi
-from carawayquayd.loop_lag import LoopLag
 from carawayquayd.object_replicator import ObjectReplicator
 from carawayquayd.peers import PeerApi
 from carawayquayd.probes import TargetProber
@@ -132,7 +132,7 @@
         self._caller_listener = Listener(settings.callers, self._caller_server.serve)
         self._admin_listener = Listener(settings.admin, self._admin_server.serve)
         self._peer_listener = Listener(settings.peers, self._peers.serve)
-        self._loop_lag = LoopLag(self._state)
+        self._loop_lag = LoopLag(self._state.clock, self._state.metrics)
         self._add_gauges()
 
     async def run(self) -> None:
--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -40,6 +40,7 @@
         """Return the caller's answer for a target's answer, and log it with its latency."""
         seconds = exchange.elapsed(self._state.clock.now())
         self._state.metrics.record("request_seconds", seconds, service=exchange.service)
+        self._count(answer.status, "target" if answer.signed else "unsigned")
         _log.info(
             Event.REQUEST_ANSWERED,
             id=exchange.call.request_id,
@@ -52,6 +53,7 @@
             ms=int(seconds * 1000),
             sent=exchange.sent,
             known_ms=self._state.knowledge.age_ms(),
+            **({} if answer.signed else {"signed": False}),
             **self._attempt_fields(attempt),
             **self._limit_fields(exchange),
         )
@@ -108,6 +110,7 @@
         """
         answer = ANSWERS[kind]
         self._state.metrics.count_refusal(kind)
+        self._count(answer.status, "own")
         not_run = answer.outcome is Outcome.NOT_RUN
         _log.info(
             Event.REQUEST_REFUSED if not_run else Event.REQUEST_FAILED,
@@ -134,6 +137,14 @@
                 cause=cause.value,
             )
 
+    def _count(self, status: int, source: str) -> None:
+        """Count an answer.
+
+        :param source: who decided it: ``own`` for this VM, ``target``, or ``unsigned`` for an
+            answer that came from a target without its signature
+        """
+        self._state.metrics.count("answers_total", status=str(status), source=source)
+
     def _attempt_fields(self, attempt: Attempt) -> dict[str, object]:
         """Return the log pairs that describe an attempt, with the VM through which it went."""
         fields = {
@@ -163,6 +174,7 @@
         """Return the answer to a request that violates the protocol or a limit."""
         kind = _REJECTION_KINDS.get(status, ErrorKind.MALFORMED)
         self._state.metrics.count_refusal(kind)
+        self._count(status, "own")
         _log.info(Event.REQUEST_REFUSED, id="", kind=kind.value, status=status, reason=reason)
         return headers.refusal_response(kind, status, "", None)
 
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -53,6 +53,7 @@
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.listener import Listener
 from carawayquay_wire.log_writer import LogWriter
+from carawayquay_wire.loop_lag import LoopLag
 from carawayquay_wire.metrics import Metrics
 from carawayquay_wire.signals import ReloadSignal, StopSignal
 
@@ -148,6 +149,7 @@
         self._peer_caller = PeerCaller(self._state, memory, generator)
         self._forwarder = Forwarder(self._state, attempts, self._peer_caller, crashes, generator)
         self._peer_requests = PeerRequestApi(self._state, attempts, crashes, generator)
+        self._loop_lag = LoopLag(self._state.clock, self._state.metrics)
         self._connections = int(settings.descriptors * _CALLERS_SHARE)
         limits = HttpLimits(
             connections=self._connections,
@@ -260,7 +262,7 @@
             if configuration is not None and configuration is not applied:
                 applied = configuration
                 self._set_limits(configuration.limits)
-            await self._state.ticker.next()
+            await self._loop_lag.measure(self._state.ticker.next, self._state.ticker.seconds_left)
 
     def _set_limits(self, limits: TrafficLimits) -> None:
         """Apply the limits of a configuration to the servers of callers and of other VMs."""
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -196,8 +196,13 @@
         version = configuration.version
         if route is None:
             reason = f"no route matches in configuration version {version}"
+            newest = self._state.peers.newest_configuration(self._state.clock.now())
             return self._answers.request_error(
-                call, ErrorKind.UNKNOWN_ROUTE, reason, version=version
+                call,
+                ErrorKind.UNKNOWN_ROUTE,
+                reason,
+                version=version,
+                newest_version=max(version, newest[0] if newest is not None else 0),
             )
         reason = f"the route in configuration version {version} is invalid"
         return self._answers.request_error(
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -335,3 +335,18 @@
 def test_speed_that_an_answer_reports_counts_for_its_target():
     _, _, state = run(_answers, [[answer_bytes(server_load="1,0,4,300")]])
     assert state.stats("t0").time_factor(timedelta()) == 3.0
+
+
+def _counted(state):
+    counters = state.metrics.dump()["counters"]
+    return {name for name in counters if name.startswith("answers_total")}
+
+
+def test_answers_are_counted_by_status_and_by_who_decided_them():
+    _, _, state = run(_answers, [[answer_bytes(404)]])
+    assert _counted(state) == {'answers_total{status="404",source="target"}'}
+    _, _, state = run(_answers, [[answer_bytes()]], request(path="/other/"))
+    assert _counted(state) == {'answers_total{status="404",source="own"}'}
+    unsigned = answer_bytes(404).replace(b"server-stamp: s1\r\n", b"")
+    _, _, state = run(_answers, [[unsigned]])
+    assert _counted(state) == {'answers_total{status="404",source="unsigned"}'}
--- a/packages/wire/src/carawayquay_wire/events.py
+++ b/packages/wire/src/carawayquay_wire/events.py
@@ -32,6 +32,7 @@
     PART_NOT_UNDERSTOOD = "part-not-understood"
     PULL_FAILED = "pull-failed"
     WOKEN = "woken"
+    LOOP_LATE = "loop-late"
     STORE_LOST = "store-lost"
     STORE_FOUND = "store-found"
     CONNECTION_SILENT = "connection-silent"
