Leave other tasks their part of the event loop while requests are too many

Cause: the event loop runs all tasks that are ready before it looks at sockets and timers again. With more requests than a VM can handle, one round takes up to two seconds, and each step of a pull of the configuration (0.5 s) or of a call to the store (1 s) takes a round: all of them fail by their timeouts, again and again, while the VM goes on deciding by what it knew before. It also takes itself for paused.

Change: RequestTurns lets requests begin in the order in which they came, a number of them in each round that follows the measured duration of the rounds. What waited longer than half of its target latency is refused at once as not run; deadlines count from the arrival; what its client has left meanwhile is not handled.

--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from datetime import timedelta
 
 import attrs
 
-if TYPE_CHECKING:
-    from datetime import timedelta
-
 __all__ = [
     "AnswerLimit",
     "CallerRequest",
@@ -28,11 +25,12 @@
 
     :param request_id: unique id of the attempt, empty if the caller sent none
     :param object_key: affinity key, shared by the requests for one object; empty if there is none
-    :param time_left: time until the caller's deadline, or None if it sent none
+    :param time_left: time from its arrival until the caller's deadline, or None if it sent none
     :param headers: the headers to forward, with lower-case names
     :param api_key: the key in its ``Authorization`` header, or None; never logged
     :param organisation: name of the organisation that holds the key, empty if there is none or the
         key was not checked
+    :param waited: time from its arrival until this VM had time to read it
     """
 
     request_id: str
@@ -45,6 +43,7 @@
     body: bytes = attrs.field(repr=False)
     api_key: str | None = attrs.field(default=None, repr=False)
     organisation: str = ""
+    waited: timedelta = timedelta()
 
 
 @attrs.frozen
--- a/packages/core/src/carawayquay/shedding.py
+++ b/packages/core/src/carawayquay/shedding.py
@@ -1,10 +1,10 @@
-"""Load shedding: estimates of queueing time, to refuse requests that would miss their deadline."""
+"""Load shedding: refuses requests whose queueing time would let them miss what they are due."""
 
 from __future__ import annotations
 
 from datetime import timedelta
 
-__all__ = ["MAX_QUEUED", "RunTimeMeans", "wait_estimate"]
+__all__ = ["MAX_QUEUED", "RunTimeMeans", "wait_estimate", "waited_too_long"]
 
 #: Maximum queue depth per service at one VM, in requests.
 MAX_QUEUED = 256
@@ -14,6 +14,9 @@
 
 _FIRST_ESTIMATE = timedelta(milliseconds=20)
 
+#: Part of its target latency that a request may wait before a VM has time to read it.
+_MAX_WAIT_SHARE = 0.5
+
 
 class RunTimeMeans:
     """Exponentially weighted moving averages of the run time, by service."""
@@ -42,3 +45,17 @@
     0.02
     """
     return mean_run_time * (queued + 1) / max(1, limit)
+
+
+def waited_too_long(waited: timedelta, target_latency: timedelta) -> bool:
+    """Return whether a request is refused at a VM that had no time for it when it arrived.
+
+    Refusing it takes a fraction of the time of forwarding it, so that others wait less.
+
+    :param waited: time from its arrival until the VM had time to read it
+    :param target_latency: latency up to which its answer is of full use
+
+    >>> waited_too_long(timedelta(milliseconds=300), timedelta(milliseconds=500))
+    True
+    """
+    return waited > target_latency * _MAX_WAIT_SHARE
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -55,6 +55,7 @@
 from carawayquay_wire.log_writer import LogWriter
 from carawayquay_wire.loop_lag import LoopLag
 from carawayquay_wire.metrics import Metrics
+from carawayquay_wire.request_turns import RequestTurns
 from carawayquay_wire.signals import ReloadSignal, StopSignal
 
 if TYPE_CHECKING:
@@ -159,6 +160,7 @@
         self._ends = ClientEnds(self._state)
         self._budgets = {it: new_budget(settings, it) for it in ClientListener}
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_SHARE))
+        self._turns = RequestTurns()
         self._caller_server = HttpServer(
             self._forwarder.handle,
             self._forwarder.reject,
@@ -166,6 +168,7 @@
             bodies,
             self._record_caller_end,
             self._budgets[ClientListener.CALLERS],
+            self._turns,
         )
         self._caller_listener = Listener(settings.callers, self._caller_server.serve)
         self._peer_server = HttpServer(
@@ -188,6 +191,7 @@
         gauge = self._state.metrics.gauge
         gauge("caller_connections", lambda: self._caller_server.open_connections)
         gauge("requests_active", lambda: self._forwarder.active)
+        gauge("requests_waiting", lambda: float(self._turns.waiting))
         gauge("body_bytes", lambda: float(bodies.used))
         gauge("client_bytes", lambda: float(sum(it.used for it in self._budgets.values())))
         gauge("configuration_remarks", lambda: float(len(self._state.object_applier.remarks)))
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -13,6 +13,7 @@
 from carawayquay.placement import NoCapacity
 from carawayquay.retry_times import limited_retry_after, retry_after
 from carawayquay.routes import Route, UnreadRoutes
+from carawayquay.shedding import waited_too_long
 from carawayquay_gateway.answers import CallerAnswers
 from carawayquay_gateway.authentication import (
     Authenticated,
@@ -167,6 +168,13 @@
         if isinstance(caller, AuthenticationFailed):
             return self._authentication_error(call, route, configuration, caller)
         exchange = self._new_exchange(caller, configuration, now)
+        if waited_too_long(call.waited, route.target_latency):
+            retry_delay = retry_after(
+                call.waited.total_seconds(), exchange.remaining(now), self._random
+            )
+            return self._answers.exchange_error(
+                exchange, ErrorKind.OVERLOADED, "this VM has too many requests", retry_delay
+            )
         stop = state.planned_stop
         if stop is not None and not stop.admits(exchange.deadline, now):
             return self._answers.exchange_error(
@@ -184,10 +192,11 @@
         service = self._service_choices.next(route, configuration)
         self._state.service(service).count_request(now, route.priority)
         self._attempts.count_request()
-        remaining = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
-        deadline = now + remaining - _ANSWER_MARGIN
+        allowed = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
+        arrived = now - call.waited
+        deadline = arrived + allowed - _ANSWER_MARGIN
         fingerprint = request_fingerprint(call)
-        return Exchange(call, route, service, configuration.version, now, deadline, fingerprint)
+        return Exchange(call, route, service, configuration.version, arrived, deadline, fingerprint)
 
     def _route_error(
         self, call: CallerRequest, route: UnreadRoutes | None, configuration: Configuration
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -7,6 +7,7 @@
 import time
 from datetime import timedelta
 
+import attrs
 import curio
 import pytest
 from curio.network import tcp_server_socket
@@ -350,3 +351,21 @@
     unsigned = answer_bytes(404).replace(b"server-stamp: s1\r\n", b"")
     _, _, state = run(_answers, [[unsigned]])
     assert _counted(state) == {'answers_total{status="404",source="unsigned"}'}
+
+
+def _waited(seconds, **changes):
+    return attrs.evolve(request(**changes), waited_seconds=seconds)
+
+
+def test_request_that_waited_too_long_for_its_turn_is_refused_as_not_run():
+    answer, (stub,), _ = run(_answers, [[answer_bytes()]], _waited(0.5))
+    assert answer.status == 503
+    assert answer.body == b"overloaded"
+    assert float(answer.header(b"retry-after")) > 0
+    assert stub.requests == []
+
+
+def test_deadline_counts_from_the_arrival_of_a_request():
+    _, (stub,), _ = run(_answers, [[answer_bytes()]], _waited(0.1, left_ms=1000))
+    line = next(line for line in stub.requests[0].split(b"\r\n") if line.startswith(b"deadline-ms"))
+    assert 700 <= int(line.split(b":")[1]) <= 900
--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -50,6 +50,7 @@
     :param target: path and query as sent
     :param headers: pairs of name and value, names in lower case
     :param peer: the caller's IP address
+    :param waited_seconds: time from its arrival until the server had time to read it
     """
 
     method: str
@@ -57,6 +58,7 @@
     headers: Headers
     body: bytes | bytearray
     peer: str = ""
+    waited_seconds: float = 0.0
 
     def header(self, name: bytes) -> str | None:
         """Return the value of the first header with a lower-case name, or None."""
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -37,6 +37,7 @@
     from carawayquay_wire.body_budget import Reservation
     from carawayquay_wire.connection_budget import ConnectionBytes
     from carawayquay_wire.connection_ends import EndObserver
+    from carawayquay_wire.request_turns import RequestTurns
 
     MaybeResponse = HttpResponse | None
     Handler = Callable[[HttpRequest], MaybeResponse | Awaitable[MaybeResponse]]
@@ -84,6 +85,7 @@
     :param on_end: called with the cause when this server ends a connection, and with the response
         if one could not be sent
     :param connection_budget: limits what connections hold apart from bodies, no limit if None
+    :param turns: lets requests begin so that other tasks have time too, all at once if None
     """
 
     def __init__(
@@ -94,8 +96,10 @@
         body_budget: BodyBudget | None = None,
         on_end: EndObserver | None = None,
         connection_budget: ConnectionBudget | None = None,
+        turns: RequestTurns | None = None,
     ) -> None:
         self._handler = handler
+        self._turns = turns
         self._on_end = on_end
         self._connection_budget = connection_budget or ConnectionBudget()
         self._body_budget = body_budget or BodyBudget(_DEFAULT_BODY_BUDGET_BYTES)
@@ -287,7 +291,14 @@
         reservation: Reservation,
     ) -> HttpRequest | None:
         try:
-            head = await self._read_head(sock, connection, held)
+            if not connection.trailing_data[0] and not await self._wait_for_request(
+                sock, connection, held
+            ):
+                return None
+            waited_seconds = await self._wait_for_turn(sock, connection, held)
+            if waited_seconds is None:
+                return None
+            head = await self._read_head(sock, connection)
             if head is None:
                 return None
             check_head(head, self._limits)
@@ -302,27 +313,36 @@
             headers=tuple(head.headers),
             body=body,
             peer=held.peer,
+            waited_seconds=waited_seconds,
         )
 
-    async def _read_head(
+    async def _wait_for_turn(
         self, sock: Any, connection: h11.Connection, held: ConnectionBytes
-    ) -> h11.Request | None:
+    ) -> float | None:
+        """Wait until the next request may begin, and return the seconds that it waited.
+
+        Return None if the client closed the connection meanwhile.
+        """
+        if self._turns is None:
+            return 0.0
+        waited_seconds = await self._turns.next()
+        size = self._read_ahead_size(held) if waited_seconds else 0
+        if size and is_readable(sock):
+            data = await sock.recv(size)
+            if not data:
+                return None
+            connection.receive_data(data)
+        return waited_seconds
+
+    async def _read_head(self, sock: Any, connection: h11.Connection) -> h11.Request | None:
         """Read the head of a request and return it, None if the connection ends before it.
 
         :raises RejectedError: if the head does not arrive within the timeout
         """
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            if connection.trailing_data[0] == b"" and not await self._wait_for_request(
-                sock, connection, held
-            ):
-                return None
-            event = await next_event(
-                sock, connection, self._limits.header_seconds, "headers did not arrive in time"
-            )
-        if isinstance(event, h11.Request):
-            return event
-        return None
+        event = await next_event(
+            sock, connection, self._limits.header_seconds, "headers did not arrive in time"
+        )
+        return event if isinstance(event, h11.Request) else None
 
     async def _wait_for_request(
         self, sock: Any, connection: h11.Connection, held: ConnectionBytes
