--- a/packages/wire/src/carawayquay_wire/request_turns.py
+++ b/packages/wire/src/carawayquay_wire/request_turns.py
@@ -13,9 +13,8 @@
 #: requests begin in the next one.
 _CYCLE_SECONDS = 0.05
 
-#: Requests that begin in a cycle: at first, and at most.
-_INITIAL_PER_CYCLE = 32
-_MAX_PER_CYCLE = 256
+#: Requests that begin in a cycle at most, so that the first cycle of a crowd is bounded too.
+_MAX_PER_CYCLE = 32
 
 #: Growth of that number with each cycle that was short enough.
 _GROWTH = 1.1
@@ -30,8 +29,9 @@
     """
 
     def __init__(self) -> None:
-        self._limit = float(_INITIAL_PER_CYCLE)
+        self._limit = float(_MAX_PER_CYCLE)
         self._begun = 0
+        self._first_begun_at = 0.0
         self._began_any = curio.Event()
         self._waiting: deque[curio.Event] = deque()
         self._counting = False
@@ -46,14 +46,15 @@
         if not self._counting:
             self._counting = True
             await curio.spawn(self._count_cycles, daemon=True)
+        started = time.monotonic()
         if not self._begun:
+            self._first_begun_at = started
             await self._began_any.set()
-        if not self._waiting and self._begun < self._limit:
+        if not self._waiting and self._has_room(started):
             self._begun += 1
             return 0.0
         turn = curio.Event()
         self._waiting.append(turn)
-        started = time.monotonic()
         try:
             await turn.wait()
         except curio.CancelledError:
@@ -62,6 +63,10 @@
             raise
         return time.monotonic() - started
 
+    def _has_room(self, now: float) -> bool:
+        """Return whether another request may begin in this cycle."""
+        return self._begun < self._limit and now - self._first_begun_at <= _CYCLE_SECONDS
+
     async def _count_cycles(self) -> None:
         """Begin a new count with each cycle in which requests begin, and let waiting ones begin."""
         while True:
@@ -71,6 +76,7 @@
             started = time.monotonic()
             await curio.sleep(0)
             self._adapt(time.monotonic() - started)
+            self._first_begun_at = time.monotonic()
             self._begun = min(len(self._waiting), max(1, int(self._limit)))
             for _ in range(self._begun):
                 await self._waiting.popleft().set()
