Let all VMs of a large domain pull a change of a large configuration in time

Callers saw: proper requests refused with 404, and others run by the old service, for seconds after the deadline, at most VMs of some domains.

Cause: all VMs of a domain pull a change at once from the one that announced it, each with a limit of 0.5 s. Where the answers together take longer than that on its link, all of them fail, and all begin again: nobody gets the change, and the link carries nothing but answers that are thrown away. Class of fault: congestion collapse by retries that share one bottleneck.

Change: objects are compressed for VMs that say that they read it (a VM of the build before does not, and gets them as before); a VM draws one of those that have the change, so that each that has it takes a part; and a VM puts off pulls beyond half of its link at once (503), so that those that it answers come in time.

--- a/packages/gateway/src/carawayquay_gateway/admin.py
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -4,9 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from carawayquay.bandwidth import TokenBucket
 from carawayquay.store_revision import StoreRevision
 from carawayquay_gateway.state_dump import dump_state
-from carawayquay_platform.object_responses import list_response, watch_response
+from carawayquay_platform.object_responses import (
+    accepts_deflate,
+    deflated,
+    list_response,
+    watch_response,
+)
 from carawayquay_platform.own_endpoints import READY_PATH, PullQuery, parse_pull
 from carawayquay_wire.http import HttpResponse, json_response
 
@@ -17,6 +23,11 @@
 
 __all__ = ["AdminApi", "ReadinessApi"]
 
+_BYTES_PER_MBIT = 125_000
+
+#: Share of this VM's link for the objects that other VMs pull.
+_PULL_SHARE = 0.5
+
 
 class ReadinessApi:
     """Serves the readiness check."""
@@ -37,6 +48,7 @@
     def __init__(self, state: GatewayState, explainer: RequestExplainer | None = None) -> None:
         self._state = state
         self._explainer = explainer
+        self._object_bytes = TokenBucket()
 
     def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one admin request."""
@@ -49,7 +61,24 @@
             case "/explain" if self._explainer is not None:
                 return _explain(self._explainer, request.target.partition("?")[2])
             case _:
-                return self._objects(parse_pull(request.target))
+                return self._pulled(request)
+
+    def _pulled(self, request: HttpRequest) -> HttpResponse:
+        """Answer a pull of objects, unless too many were answered lately.
+
+        All VMs of a domain pull a change at once. If all were answered, none would have its answer
+        in time where the link is narrow.
+        """
+        rate = self._state.settings.link_mbps * _BYTES_PER_MBIT * _PULL_SHARE
+        self._object_bytes.fill(rate, self._state.clock.now())
+        if rate and self._object_bytes.tokens < 0:
+            self._state.metrics.count("pulls_deferred_total")
+            return HttpResponse(503)
+        response = self._objects(parse_pull(request.target))
+        if accepts_deflate(request):
+            response = deflated(response)
+        self._object_bytes.tokens -= len(response.body)
+        return response
 
     def _objects(self, query: PullQuery) -> HttpResponse:
         """Answer a list or a watch in the store's format; a watch returns without waiting."""
--- a/packages/gateway/src/carawayquay_gateway/configuration_sync.py
+++ b/packages/gateway/src/carawayquay_gateway/configuration_sync.py
@@ -7,6 +7,7 @@
 
 from carawayquay.errors import StoreError
 from carawayquay.membership import Address
+from carawayquay_platform.object_responses import ACCEPT_DEFLATE
 from carawayquay_platform.objects import ObjectKind
 from carawayquay_platform.store import PlatformStoreClient
 from carawayquay_wire.events import Event, EventLog
@@ -62,7 +63,7 @@
 
     async def _pull(self, host: str) -> None:
         address = Address(host, self._state.settings.admin.port)
-        peer = PlatformStoreClient(address, _TIMEOUT)
+        peer = PlatformStoreClient(address, _TIMEOUT, headers=(ACCEPT_DEFLATE,))
         try:
             listing = await peer.list(ObjectKind.CONFIGURATION)
         except StoreError as error:
--- a/packages/gateway/src/carawayquay_gateway/replica_puller.py
+++ b/packages/gateway/src/carawayquay_gateway/replica_puller.py
@@ -8,10 +8,13 @@
 from carawayquay.errors import HistoryLostError, StoreError
 from carawayquay.membership import Address
 from carawayquay.store_revision import NO_REVISION
+from carawayquay_platform.object_responses import ACCEPT_DEFLATE
 from carawayquay_platform.store import PlatformStoreClient
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
+    from random import Random
+
     from carawayquay.entry_peers import Holder
     from carawayquay_gateway.replicas import Replica
     from carawayquay_gateway.state import GatewayState
@@ -31,16 +34,18 @@
 class ReplicaPuller:
     """Pulls changes to a replica from the VMs that are ahead of it."""
 
-    def __init__(self, state: GatewayState, replica: Replica) -> None:
+    def __init__(self, state: GatewayState, replica: Replica, random: Random) -> None:
         self._state = state
+        self._random = random
         self._replica = replica
         self._kind_index = list(state.replicas).index(replica.kind)
         self._behind_since: timedelta | None = None
 
     def newest_holder(self) -> Holder | None:
-        """Return the live VM with the highest revision, on a tie one of the own domain.
+        """Return a live VM with the highest revision, of the own domain if it has any.
 
-        Return None if no VM is ahead.
+        Of several, one is drawn, so that the VMs of a domain spread their pulls. Return None if no
+        VM is ahead.
         """
         peers = self._state.peers
         known = self._replica.revision or NO_REVISION
@@ -48,7 +53,11 @@
             return None
         holders = peers.holders(self._kind_index, self._state.clock.now())
         ahead = [holder for holder in holders if holder.revision > known]
-        return max(ahead, key=lambda holder: (holder.revision, holder.same_domain), default=None)
+        if not ahead:
+            return None
+        best = max((holder.revision, holder.same_domain) for holder in ahead)
+        newest = [it for it in ahead if (it.revision, it.same_domain) == best]
+        return self._random.choice(newest)
 
     async def pull_from_newest(self) -> bool:
         """Pull from the live VM with the highest revision; return whether that worked."""
@@ -73,7 +82,7 @@
         :param log_failure: whether to log a failure
         """
         address = Address(host, self._state.settings.admin.port)
-        peer = PlatformStoreClient(address, _PEER_TIMEOUT)
+        peer = PlatformStoreClient(address, _PEER_TIMEOUT, headers=(ACCEPT_DEFLATE,))
         try:
             await self._pull_from(peer, may_list=may_list)
         except HistoryLostError:
--- a/packages/gateway/src/carawayquay_gateway/watcher.py
+++ b/packages/gateway/src/carawayquay_gateway/watcher.py
@@ -106,7 +106,7 @@
         self._connected: bool | None = None
         self._must_list = True
         self._handled_pauses = state.pause_count
-        self._puller = ReplicaPuller(state, replica)
+        self._puller = ReplicaPuller(state, replica, random)
         self._handled_revision = NO_REVISION
         self._loaded_at: timedelta | None = None
         self._last_call_failed = False
