Treat an unsigned 3xx or 4xx of a target as no answer

Callers saw: a 3xx or 4xx to a proper request that no target had decided (DENIED). Callers don't send a request again after 400, 404, 413 or 431, so that each of these was final.

Cause: the forwarder passed on every complete answer below 500. A target that could not read a request, or whose bytes only looked like an answer, denied it without the signature that each answer of a request that ran bears.

Change: such an answer counts as a failed attempt. A request that may be repeated goes to another target within max_attempts and the retry budget; any other, or one for which that fails too, gets 502, which promises nothing. It neither counts as the completion of a suspect request nor as a fast answer of its target. Signed ones, 421 and Not-Executed keep their meaning, also from another VM.

--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -18,6 +18,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+_FIRST_REDIRECTION = 300
+_FIRST_SERVER_ERROR = 500
+
 
 @attrs.frozen
 class CallerRequest:
@@ -108,3 +111,11 @@
     keep_alive_timeout: timedelta | None
     limit: AnswerLimit = LimitAbsent()
     signed: bool = True
+
+    @property
+    def unsigned_denial(self) -> bool:
+        """Whether it redirects or denies the request and nothing shows that the target decided it.
+
+        Callers do not send a request again after such a status.
+        """
+        return not self.signed and _FIRST_REDIRECTION <= self.status < _FIRST_SERVER_ERROR
--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -38,6 +38,11 @@
         """Whether the target may have run the request."""
         return not (self.answer.not_run or self.answer.address_reused)
 
+    @property
+    def completed(self) -> bool:
+        """Whether the answer tells that the target ran the request to its end."""
+        return self.ran and not self.answer.unsigned_denial
+
 
 @attrs.frozen
 class Unanswered:
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -286,7 +286,11 @@
         self, exchange: Exchange, end: AttemptEnd | NoCapacity | RequestCrashesTargets
     ) -> None:
         """Record that a request that was sent through another VM completed."""
-        if isinstance(end, AttemptEnd) and isinstance(end.result, Answered) and end.result.ran:
+        if (
+            isinstance(end, AttemptEnd)
+            and isinstance(end.result, Answered)
+            and end.result.completed
+        ):
             self._crashes.record_completion(exchange.fingerprint, self._state.clock.now())
 
     def _handle_end(self, exchange: Exchange, end: AttemptEnd) -> HttpResponse | None:
@@ -352,6 +356,9 @@
             self._answers.log_failed_attempt(exchange, attempt, f"not-run-{answer.status}")
             return None
         exchange.may_have_run = True
+        if answer.unsigned_denial:
+            self._answers.log_failed_attempt(exchange, attempt, f"unsigned-{answer.status}")
+            return None
         remaining = exchange.remaining(self._state.clock.now())
         failed = answer.status >= _SERVER_ERROR
         if failed and exchange.route.idempotent and remaining > attempt.work:
--- a/packages/gateway/src/carawayquay_gateway/target_attempts.py
+++ b/packages/gateway/src/carawayquay_gateway/target_attempts.py
@@ -101,7 +101,7 @@
     def _record(self, exchange: Exchange, placed: Placement, answered: Answered) -> None:
         """Record what a target's answer tells about it and about the request."""
         stats = self._state.stats(placed.target.name)
-        if not answered.ran:
+        if not answered.completed:
             stats.shed(self._state.clock.now())
             return
         self._crashes.record_completion(exchange.fingerprint, self._state.clock.now())
