Skip empty lines before a request, and read targets that name their host

Cause: h11 takes an empty line for a request without a request line, and the target was looked up as a path, whatever its form.

Evidence: test_proper_requests.py, new here, on the code before: 'assert [400] == [200]' for the empty line, 'assert [404] == [200]' for both targets in absolute form; pipelined with the others, whole and byte by byte, they failed too. The other twelve kinds of requests there passed before.

Change: up to 16 bytes of empty lines are skipped while a connection waits for a request, more are rejected as before; a request that was read ahead behind empty lines gets a parser of its own. The host in a target replaces the Host header, and the target goes on in origin form.

--- /dev/null
+++ b/packages/gateway/tests/test_proper_requests.py
@@ -0,0 +1,89 @@
+"""Proper requests reach a target, however their bytes are split; none is denied by a VM itself."""
+
+from __future__ import annotations
+
+import re
+import socket
+
+import curio
+import curio.io
+import pytest
+from gateway_builders import ScriptedTarget, answer_bytes, new_forwarder, run, target
+
+from carawayquay_wire.http import HttpLimits
+from carawayquay_wire.http_server import HttpServer
+
+_BODY = b"one body"
+_CHUNKED = b'4\r\none \r\n4;a=b;c="d e"\r\nbody\r\n0\r\n'
+
+_GET = b"GET /reports/ HTTP/1.1"
+_HOST = b"Host: stones.example"
+
+_HEADS = {
+    "host with a port": (_GET, _HOST + b":8548"),
+    "host in upper case": (_GET, b"HOST: STONES.Example"),
+    "absolute form": (b"GET http://stones.example/reports/ HTTP/1.1", _HOST),
+    "absolute form and another host": (
+        b"GET HTTP://Stones.Example:80/reports/?b HTTP/1.1",
+        b"Host: other",
+    ),
+    "query with slashes": (b"GET /reports/?next=/b/c/&d=http://e/f HTTP/1.1", _HOST),
+    "empty line before": (b"", _GET, _HOST),
+    "upgrade": (_GET, _HOST, b"Upgrade: h2c", b"Connection: upgrade"),
+    "values without text": (_GET, _HOST, b"X-A:", b"X-B: \t "),
+    "odd legal names and values": (_GET, b"Host: \tstones.example ", b"!#$%&'*+-.^_`|~: \xe4\xff"),
+    "HEAD": (b"HEAD /reports/ HTTP/1.1", _HOST),
+    "unknown method": (b"PURGE /reports/ HTTP/1.1", _HOST),
+}
+_BODIES = {
+    "chunks, trailers and extensions": (
+        b"Transfer-Encoding: Chunked\r\nTrailer: X-T\r\n\r\n" + _CHUNKED + b"X-T: u\r\n\r\n"
+    ),
+    "length sent twice": b"Content-Length: 8\r\nContent-Length: 8\r\n\r\n" + _BODY,
+    "length listed twice": b"Content-Length: 8, 8\r\n\r\n" + _BODY,
+    "expect": b"Expect: 100-continue\r\nContent-Length: 8\r\n\r\n" + _BODY,
+}
+_ID = b"Request-Id: a1\r\n"
+_POST = b"POST /reports/ HTTP/1.1\r\n" + _HOST + b"\r\n"
+_ALL = {name: b"\r\n".join((*lines, _ID, b"")) for name, lines in _HEADS.items()} | {
+    name: _POST + _ID + rest for name, rest in _BODIES.items()
+}
+
+
+async def _statuses(parts, limits=None):
+    """Return the statuses that a VM gives, and the requests that its target received."""
+    stub = await ScriptedTarget(answer_bytes(200, b"")).start()
+    forwarder, _ = new_forwarder([("t0", target(stub.address))])
+    server = HttpServer(forwarder.handle, forwarder.reject, limits or HttpLimits())
+    client, served = (curio.io.Socket(it) for it in socket.socketpair())
+    for end in (client, served):
+        end._socket.setblocking(False)
+    serving = await curio.spawn(server.serve, served, ("192.0.2.1", 1))
+    received = b""
+    for part in parts:
+        await client.sendall(part)
+        await curio.sleep(0)
+    async with curio.ignore_after(0.5):
+        while data := await client.recv(65536):
+            received += data
+    await client.close()
+    await serving.cancel()
+    found = [int(it) for it in re.findall(rb"HTTP/1\.1 (\d\d\d)", received)]
+    return [it for it in found if it != 100], stub.requests
+
+
+@pytest.mark.parametrize("name", _ALL)
+def test_proper_request_reaches_a_target(name):
+    """Guards against denying what HTTP/1.1 allows."""
+    statuses, requests = run(_statuses, [_ALL[name]])
+    assert statuses == [200], statuses
+    assert len(requests) == 1
+    assert requests[0].split(b" ")[1].startswith(b"/reports/")
+
+
+def test_pipelined_proper_requests_reach_a_target_whole_and_byte_by_byte():
+    data = b"".join(_ALL.values())
+    for parts in ([data], [data[index : index + 1] for index in range(len(data))]):
+        statuses, requests = run(_statuses, parts)
+        assert statuses == [200] * len(_ALL)
+        assert len(requests) == len(_ALL)
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -20,10 +20,13 @@
 from carawayquay_wire.idle_connections import IdleConnections
 from carawayquay_wire.lingering import LingeringConnections
 from carawayquay_wire.request_reading import (
+    EMPTY_LINE,
     RejectedError,
     check_head,
     content_length,
+    first_bytes,
     next_event,
+    origin_form,
     read_body,
 )
 from carawayquay_wire.response_encoding import encode_response
@@ -171,7 +174,7 @@
     ) -> None:
         """Serve requests until the connection is to close, and let the client receive the rest."""
         while (close := await self._serve_one(sock, connection, held)) is None:
-            connection.start_next_cycle()
+            connection = _next_parser(connection, self._limits)
         if self._sender.end_cause(sock) is not None:
             return
         if sock not in self._lingering:
@@ -307,10 +310,11 @@
             )
         except h11.RemoteProtocolError as error:
             raise RejectedError(error.error_status_hint, str(error)) from error
+        target, headers = origin_form(head)
         return HttpRequest(
             method=head.method.decode("ascii"),
-            target=head.target.decode("latin-1"),
-            headers=tuple(head.headers),
+            target=target.decode("latin-1"),
+            headers=headers,
             body=body,
             peer=held.peer,
             waited_seconds=waited_seconds,
@@ -351,7 +355,7 @@
         if self._draining and not is_readable(sock):
             return False
         self._idle.add(sock, held)
-        data = await sock.recv(_READ_BYTES)
+        data = await first_bytes(sock)
         closed_here = not self._idle.remove(sock)
         if closed_here and data:
             self._note_end(ConnectionEnd.CROSSED)
@@ -410,5 +414,19 @@
     return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
 
+def _next_parser(connection: h11.Connection, limits: HttpLimits) -> h11.Connection:
+    """Return the parser of a connection's next request, without empty lines before it."""
+    data, closed = connection.trailing_data
+    if not data.startswith(b"\r"):
+        connection.start_next_cycle()
+        return connection
+    following = _new_connection(limits)
+    if rest := data.lstrip(EMPTY_LINE):
+        following.receive_data(rest)
+    if closed:
+        following.receive_data(b"")
+    return following
+
+
 async def _await_result(work: Any) -> HttpResponse | None:
     return await work
--- a/packages/wire/src/carawayquay_wire/request_reading.py
+++ b/packages/wire/src/carawayquay_wire/request_reading.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -15,10 +16,28 @@
     from carawayquay_wire.body_budget import Reservation
     from carawayquay_wire.http import HttpLimits
 
-__all__ = ["RejectedError", "check_head", "content_length", "next_event", "read_body"]
+__all__ = [
+    "EMPTY_LINE",
+    "RejectedError",
+    "check_head",
+    "content_length",
+    "first_bytes",
+    "next_event",
+    "origin_form",
+    "read_body",
+]
 
 _READ_BYTES = 65536
 
+#: An empty line, which some clients send before a request.
+EMPTY_LINE = b"\r\n"
+
+#: Bytes of empty lines before a request after which more of them are rejected.
+_MAX_EMPTY_BYTES = 16
+
+#: Matches a target in absolute form, which names the host too.
+_ABSOLUTE_FORM = re.compile(rb"https?://([^/?#]+)([^#]*)", re.IGNORECASE)
+
 
 @attrs.frozen
 class RejectedError(Exception):
@@ -28,6 +47,20 @@
     reason: str
 
 
+async def first_bytes(sock: Any) -> bytes:
+    """Receive the first bytes of a request, without a few empty lines before it.
+
+    :returns: no bytes if the client closed the connection
+    """
+    skipped = 0
+    while data := await sock.recv(_READ_BYTES):
+        rest = data.lstrip(EMPTY_LINE)
+        skipped += len(data) - len(rest)
+        if rest or skipped > _MAX_EMPTY_BYTES:
+            return rest or data
+    return data
+
+
 async def next_event(sock: Any, connection: h11.Connection, seconds: float, reason: str) -> Any:
     """Return the next event of a connection, reading until there is one.
 
@@ -93,6 +126,19 @@
     return bytes(body) if len(body) <= SMALL_BODY_BYTES else body
 
 
+def origin_form(head: h11.Request) -> tuple[bytes, tuple[tuple[bytes, bytes], ...]]:
+    """Return the path and query of a request, and its headers.
+
+    The host in a target in absolute form replaces that of the ``Host`` header.
+    """
+    absolute = _ABSOLUTE_FORM.fullmatch(head.target)
+    if absolute is None:
+        return head.target, tuple(head.headers)
+    host, path = absolute.groups()
+    others = (pair for pair in head.headers if pair[0] != b"host")
+    return path if path.startswith(b"/") else b"/" + path, ((b"host", host), *others)
+
+
 def content_length(head: h11.Request) -> int:
     """Return the value of content-length, 0 if there is none."""
     for name, value in head.headers:
