Find the routes of a host that is written with the dot of the root domain

Callers saw: 404 for a host with a trailing dot, which names the same host (DENIED).

Cause: hosts were compared without their port and case, but with that dot.

Evidence: test_proper_requests.py, 'host with a trailing dot', with and without a port, on the code before: 'assert [404] == [200]'.

Change: a host that no route has is looked up once more without the dot. An exact match goes first, and costs what it cost.

Measured: test_proper_requests.py and packages/core pass.

--- a/packages/core/src/carawayquay/routes.py
+++ b/packages/core/src/carawayquay/routes.py
@@ -195,12 +195,13 @@
         Prefixes end with a slash, so the path is tried up to each of its slashes. If the matching
         route is invalid, or none matches but an invalid one might, its place is returned.
 
-        :param host: with or without a port
+        :param host: with or without a port, and with or without the dot of the root domain
         :param path: with or without a query
         """
         prefixes = self._by_host.get(host.rpartition(":")[0].lower() if ":" in host else host)
         if prefixes is None:
-            prefixes = self._by_host.get(host.partition(":")[0].lower())
+            name = host.partition(":")[0].lower()
+            prefixes = self._by_host.get(name) or self._by_host.get(name.removesuffix("."))
         path = path.partition("?")[0]
         end = len(path) if prefixes is not None else 0
         while (end := path.rfind("/", 0, end)) >= 0:
--- a/packages/gateway/tests/test_proper_requests.py
+++ b/packages/gateway/tests/test_proper_requests.py
@@ -22,6 +22,8 @@
 _HEADS = {
     "host with a port": (_GET, _HOST + b":8548"),
     "host in upper case": (_GET, b"HOST: STONES.Example"),
+    "host with a trailing dot": (_GET, _HOST + b"."),
+    "host with a trailing dot and a port": (_GET, _HOST + b".:80"),
     "absolute form": (b"GET http://stones.example/reports/ HTTP/1.1", _HOST),
     "absolute form and another host": (
         b"GET HTTP://Stones.Example:80/reports/?b HTTP/1.1",
