Bound the headers of a gateway's callers by the configured size alone

Callers saw: 431 for a request with more than 64 headers, though they stayed inside max_header_bytes (DENIED).

Cause: the number of headers had a default limit of the server, which the configuration's limits left in place.

Evidence: the test with 64 put back: 'assert [431] == [200]', for headers of 4 and of 16 bytes in a head of exactly 4,096 bytes, whole and in three parts.

Change: the number that a gateway allows is the configured size over that of the shortest header. The limits of a configuration are applied in client_limits.configured_limits, beside those of the other listeners. The daemon's interface keeps its 64, which CALLERS.md names.

Measured: test_proper_requests.py and test_client_limits.py pass; a larger head is still 431.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -22,8 +22,10 @@
 from carawayquay_gateway.answer_memory import new_answer_memory
 from carawayquay_gateway.client_ends import ClientEnds
 from carawayquay_gateway.client_limits import (
+    BODY_SECONDS,
     SEND_BUFFER_BYTES,
     ClientListener,
+    configured_limits,
     new_budget,
     side_limits,
 )
@@ -77,9 +79,6 @@
 _BODIES_SHARE = 0.35
 _BYTES_IN_MB = 1_000_000
 
-#: Timeout for receiving a body; the caller's own deadline usually comes earlier.
-_BODY_SECONDS = 60.0
-
 #: Shares of the process's file descriptors for callers' connections, and for those of other VMs;
 #: the rest is for targets.
 _CALLERS_SHARE = 0.5
@@ -151,9 +150,8 @@
         self._forwarder = Forwarder(self._state, attempts, self._peer_caller, crashes, generator)
         self._peer_requests = PeerRequestApi(self._state, attempts, crashes, generator)
         self._loop_lag = LoopLag(self._state.clock, self._state.metrics)
-        self._connections = int(settings.descriptors * _CALLERS_SHARE)
-        limits = HttpLimits(
-            connections=self._connections,
+        self._caller_limits = HttpLimits(
+            connections=int(settings.descriptors * _CALLERS_SHARE),
             min_read_bytes_per_s=settings.min_read_bytes_per_s,
             send_buffer_bytes=SEND_BUFFER_BYTES,
         )
@@ -164,7 +162,7 @@
         self._caller_server = HttpServer(
             self._forwarder.handle,
             self._forwarder.reject,
-            limits,
+            self._caller_limits,
             bodies,
             self._record_caller_end,
             self._budgets[ClientListener.CALLERS],
@@ -270,16 +268,7 @@
 
     def _set_limits(self, limits: TrafficLimits) -> None:
         """Apply the limits of a configuration to the servers of callers and of other VMs."""
-        callers = HttpLimits(
-            header_bytes=limits.header_bytes,
-            body_bytes=limits.body_bytes,
-            body_seconds=_BODY_SECONDS,
-            header_seconds=limits.header_timeout.total_seconds(),
-            idle_seconds=limits.idle_timeout.total_seconds(),
-            connections=self._connections,
-            min_read_bytes_per_s=self._settings.min_read_bytes_per_s,
-            send_buffer_bytes=SEND_BUFFER_BYTES,
-        )
+        callers = configured_limits(self._caller_limits, limits)
         self._caller_server.set_limits(callers)
         self._peer_server.set_limits(_peer_limits(self._settings, callers))
 
@@ -331,7 +320,7 @@
         header_bytes=callers.header_bytes + _PEER_HEADER_BYTES,
         headers=callers.headers + _PEER_HEADERS,
         body_bytes=callers.body_bytes,
-        body_seconds=_BODY_SECONDS,
+        body_seconds=BODY_SECONDS,
         idle_seconds=MAX_PEER_IDLE.total_seconds() + _PEER_IDLE_MARGIN_SECONDS,
         connections=int(settings.descriptors * _PEERS_SHARE),
     )
--- a/packages/gateway/src/carawayquay_gateway/client_limits.py
+++ b/packages/gateway/src/carawayquay_gateway/client_limits.py
@@ -5,16 +5,32 @@
 import enum
 from typing import TYPE_CHECKING
 
+import attrs
+
 from carawayquay_wire.connection_budget import ConnectionBudget
 from carawayquay_wire.http import HttpLimits
 
 if TYPE_CHECKING:
+    from carawayquay.routes import TrafficLimits
     from carawayquay_gateway.settings import GatewaySettings
 
-__all__ = ["SEND_BUFFER_BYTES", "ClientListener", "new_budget", "side_limits"]
+__all__ = [
+    "BODY_SECONDS",
+    "SEND_BUFFER_BYTES",
+    "ClientListener",
+    "configured_limits",
+    "new_budget",
+    "side_limits",
+]
 
 _BYTES_IN_MB = 1_000_000
 
+#: Timeout for receiving a body; the caller's own deadline usually comes earlier.
+BODY_SECONDS = 60.0
+
+#: Size of the shortest header: a name of one byte, a colon, and the end of the line.
+_MIN_HEADER_BYTES = 4
+
 #: Send buffer of an accepted connection. The kernel doubles it, and would otherwise let it grow to
 #: some MB for each client that does not read. A client 6 ms away still gets some 80 Mbit/s.
 SEND_BUFFER_BYTES = 64 * 1024
@@ -61,6 +77,22 @@
     return ConnectionBudget(int(memory * _MEMORY_SHARES[listener]), settings.client_address_share)
 
 
+def configured_limits(listener: HttpLimits, limits: TrafficLimits) -> HttpLimits:
+    """Return the limits of the callers' listener under the limits of a configuration.
+
+    The number of headers is bounded by their size alone.
+    """
+    return attrs.evolve(
+        listener,
+        header_bytes=limits.header_bytes,
+        headers=limits.header_bytes // _MIN_HEADER_BYTES,
+        body_bytes=limits.body_bytes,
+        body_seconds=BODY_SECONDS,
+        header_seconds=limits.header_timeout.total_seconds(),
+        idle_seconds=limits.idle_timeout.total_seconds(),
+    )
+
+
 def side_limits(settings: GatewaySettings, listener: ClientListener) -> HttpLimits:
     """Return the limits of a listener that answers without waiting and reads no bodies."""
     connections = int(settings.descriptors * _DESCRIPTOR_SHARES[listener])
