Apply a raised limit of headers to connections that are open

Cause: the limit of incomplete heads was the parser's, which has it for as long as the connection lives.

Evidence: test_proper_requests.py, a head of 32,768 bytes in two parts after the limit was raised from 1,024, on the code before: 'assert [200, 431] == [200, 200]'. A head of exactly the limit in three parts passed before, on a connection opened under it.

Change: what has arrived of an incomplete head, chunk header or trailer is compared with the limit in force before more of it is received; the parser has no limit of its own.

--- a/packages/gateway/tests/test_proper_requests.py
+++ b/packages/gateway/tests/test_proper_requests.py
@@ -56,7 +56,12 @@
 }
 
 
-async def _statuses(parts, limits=None, later=None):
+#: Matches the status of an answer that is not an interim one.
+_FINAL = re.compile(rb"HTTP/1\.1 ([2-5]\d\d)")
+_ANSWERS_SECONDS = 8.0
+
+
+async def _statuses(parts, limits=None, later=None, count=1):
     """Return the statuses that a VM gives, and the requests that its target received."""
     stub = await ScriptedTarget(answer_bytes(200, b"")).start()
     forwarder, _ = new_forwarder([("t0", target(stub.address))])
@@ -71,13 +76,12 @@
         await client.sendall(part)
         await curio.sleep(0.02 if later else 0)
         server.set_limits(later or server_limits)
-    async with curio.ignore_after(0.5):
-        while data := await client.recv(65536):
+    async with curio.ignore_after(_ANSWERS_SECONDS):
+        while len(_FINAL.findall(received)) < count and (data := await client.recv(65536)):
             received += data
     await client.close()
     await serving.cancel()
-    found = [int(it) for it in re.findall(rb"HTTP/1\.1 (\d\d\d)", received)]
-    return [it for it in found if it != 100], stub.requests
+    return [int(it) for it in _FINAL.findall(received)], stub.requests
 
 
 @pytest.mark.parametrize("name", _ALL)
@@ -92,7 +96,7 @@
 def test_pipelined_proper_requests_reach_a_target_whole_and_byte_by_byte():
     data = b"".join(_ALL.values())
     for parts in ([data], [data[index : index + 1] for index in range(len(data))]):
-        statuses, requests = run(_statuses, parts)
+        statuses, requests = run(_statuses, parts, None, None, len(_ALL))
         assert statuses == [200] * len(_ALL)
         assert len(requests) == len(_ALL)
 
@@ -115,3 +119,11 @@
         assert run(_statuses, parts, limits)[0] == [200]
     over = _head(4096, header).replace(b"\r\n\r\n", b"x" * 4096 + b"\r\n\r\n")
     assert run(_statuses, [over], limits)[0] == [431]
+
+
+def test_raised_limit_of_headers_holds_for_connections_that_are_open():
+    """Guards against a parser that keeps the limit with which its connection was opened."""
+    old, new = HttpLimits(header_bytes=1024), HttpLimits(header_bytes=32_768)
+    first, second = _ALL["host with a port"], _head(32_768, b"x-a: " + b"b" * 1000 + b"\r\n")
+    parts = [first, second[:20_000], second[20_000:]]
+    assert run(_statuses, parts, old, new, 2)[0] == [200, 200]
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -4,6 +4,7 @@
 
 import inspect
 import socket
+import sys
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -25,9 +26,9 @@
     check_head,
     content_length,
     first_bytes,
-    next_event,
     origin_form,
     read_body,
+    read_head,
 )
 from carawayquay_wire.response_encoding import encode_response
 from carawayquay_wire.response_sending import ResponseSender, can_respond
@@ -128,10 +129,7 @@
         return self._refused_count
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Replace the limits, also those of open connections.
-
-        One exception: the parser of an open connection keeps its header size limit.
-        """
+        """Replace the limits, also those of open connections."""
         self._limits = limits
 
     def announce_close(self) -> None:
@@ -152,7 +150,7 @@
         ):
             await self._refuse(sock)
             return
-        connection = _new_connection(limits)
+        connection = _new_connection()
         self._set_send_buffer(sock)
         held = self._sender.open(sock, address[0])
         self._open_count += 1
@@ -174,7 +172,7 @@
     ) -> None:
         """Serve requests until the connection is to close, and let the client receive the rest."""
         while (close := await self._serve_one(sock, connection, held)) is None:
-            connection = _next_parser(connection, self._limits)
+            connection = _next_parser(connection)
         if self._sender.end_cause(sock) is not None:
             return
         if sock not in self._lingering:
@@ -213,9 +211,7 @@
         response = self._reject(503, f"more than {self._limits.connections} connections")
         with suppress(OSError):
             async with curio.ignore_after(_REFUSE_SECONDS):
-                await sock.sendall(
-                    encode_response(_new_connection(self._limits), response, "GET", True)
-                )
+                await sock.sendall(encode_response(_new_connection(), response, "GET", True))
                 await sock.shutdown(socket.SHUT_WR)
                 await discard_input(sock)
 
@@ -343,9 +339,7 @@
 
         :raises RejectedError: if the head does not arrive within the timeout
         """
-        event = await next_event(
-            sock, connection, self._limits.header_seconds, "headers did not arrive in time"
-        )
+        event = await read_head(sock, connection, self._limits)
         return event if isinstance(event, h11.Request) else None
 
     async def _wait_for_request(
@@ -410,17 +404,18 @@
         return _Close(attrs.evolve(response, body=b"") if sent else None)
 
 
-def _new_connection(limits: HttpLimits) -> h11.Connection:
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+def _new_connection() -> h11.Connection:
+    """Return a parser without a limit of its own, as that could not follow the configured one."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
 
-def _next_parser(connection: h11.Connection, limits: HttpLimits) -> h11.Connection:
+def _next_parser(connection: h11.Connection) -> h11.Connection:
     """Return the parser of a connection's next request, without empty lines before it."""
     data, closed = connection.trailing_data
     if not data.startswith(b"\r"):
         connection.start_next_cycle()
         return connection
-    following = _new_connection(limits)
+    following = _new_connection()
     if rest := data.lstrip(EMPTY_LINE):
         following.receive_data(rest)
     if closed:
--- a/packages/wire/src/carawayquay_wire/request_reading.py
+++ b/packages/wire/src/carawayquay_wire/request_reading.py
@@ -22,9 +22,9 @@
     "check_head",
     "content_length",
     "first_bytes",
-    "next_event",
     "origin_form",
     "read_body",
+    "read_head",
 ]
 
 _READ_BYTES = 65536
@@ -61,26 +61,34 @@
     return data
 
 
-async def next_event(sock: Any, connection: h11.Connection, seconds: float, reason: str) -> Any:
+async def read_head(sock: Any, connection: h11.Connection, limits: HttpLimits) -> Any:
     """Return the next event of a connection, reading until there is one.
 
-    :param seconds: timeout for receiving it
-    :param reason: why the request is rejected if it does not arrive in time
-    :raises RejectedError: if it does not arrive in time
+    :raises RejectedError: if it does not arrive in time or exceeds a limit
     """
     event = connection.next_event()
     if event is not h11.NEED_DATA:
         return event
     try:
-        async with curio.timeout_after(seconds):
+        async with curio.timeout_after(limits.header_seconds):
             while event is h11.NEED_DATA:
-                connection.receive_data(await sock.recv(_READ_BYTES))
+                await _receive(sock, connection, limits)
                 event = connection.next_event()
     except curio.TaskTimeout:
-        raise RejectedError(408, reason) from None
+        raise RejectedError(408, "headers did not arrive in time") from None
     return event
 
 
+async def _receive(sock: Any, connection: h11.Connection, limits: HttpLimits) -> None:
+    """Receive more of an incomplete head, chunk header or trailer.
+
+    :raises RejectedError: if what has arrived of it exceeds the limit of headers
+    """
+    if len(connection.trailing_data[0]) > limits.header_bytes:
+        raise RejectedError(431, f"headers exceed {limits.header_bytes} bytes")
+    connection.receive_data(await sock.recv(_READ_BYTES))
+
+
 async def read_body(
     sock: Any,
     connection: h11.Connection,
@@ -107,7 +115,7 @@
             await reservation.grow_to(length)
             while not isinstance(event, h11.EndOfMessage):
                 if event is h11.NEED_DATA:
-                    connection.receive_data(await sock.recv(_READ_BYTES))
+                    await _receive(sock, connection, limits)
                 elif isinstance(event, h11.Data):
                     size = len(body) + len(event.data)
                     if size > limits.body_bytes:
