Refuse a request above the default sizes with 503 while no configuration is known

Callers saw: 413 or 431 for a request inside the configured limits, from a VM that had no configuration yet (DENIED).

Cause: until then the listener has default limits, and a size above them was refused as if the configuration forbade it.

Evidence: test_proper_requests.py on the code before: 'assert 413 == 503', 'assert 431 == 503'.

Change: without a configuration, the forwarder answers both as it does any other request: 503 unconfigured with Retry-After, which promises that the request was not run. The defaults still bound what is read.

--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -170,13 +170,23 @@
             "limit_share": round(reached.limit.share, 4),
         }
 
-    def reject(self, status: int, reason: str) -> HttpResponse:
-        """Return the answer to a request that violates the protocol or a limit."""
-        kind = _REJECTION_KINDS.get(status, ErrorKind.MALFORMED)
+    def reject(
+        self,
+        status: int,
+        reason: str,
+        kind: ErrorKind | None = None,
+        retry_delay: float | None = None,
+    ) -> HttpResponse:
+        """Return the answer to a request that violates the protocol or a limit.
+
+        :param kind: the kind of refusal, that of the status if None
+        :param retry_delay: seconds for the retry-after header, or None to leave it out
+        """
+        kind = kind or _REJECTION_KINDS.get(status, ErrorKind.MALFORMED)
         self._state.metrics.count_refusal(kind)
         self._count(status, "own")
         _log.info(Event.REQUEST_REFUSED, id="", kind=kind.value, status=status, reason=reason)
-        return headers.refusal_response(kind, status, "", None)
+        return headers.refusal_response(kind, status, "", retry_delay)
 
 
 def _organisation_field(call: CallerRequest) -> dict[str, str]:
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -9,7 +9,7 @@
 import curio
 
 from carawayquay.crash_counts import request_fingerprint
-from carawayquay.errors import ErrorKind
+from carawayquay.errors import ANSWERS, ErrorKind
 from carawayquay.placement import NoCapacity
 from carawayquay.retry_times import limited_retry_after, retry_after
 from carawayquay.routes import Route, UnreadRoutes
@@ -71,6 +71,9 @@
 
 _SERVER_ERROR = 500
 
+#: Statuses of requests whose body or headers exceed the limit.
+_SIZE_STATUSES = frozenset({413, 431})
+
 
 @attrs.frozen
 class _Admitted:
@@ -127,7 +130,13 @@
             self._active -= 1
 
     def reject(self, status: int, reason: str) -> HttpResponse:
-        """Return the answer to a request that violates the protocol or a limit."""
+        """Return the answer to a request that violates the protocol or a limit.
+
+        Without a configuration, no limit of sizes is known to be exceeded.
+        """
+        if self._state.configuration is None and status in _SIZE_STATUSES:
+            kind = ErrorKind.UNCONFIGURED
+            return self._answers.reject(ANSWERS[kind].status, reason, kind, _UNCONFIGURED_RETRY)
         return self._answers.reject(status, reason)
 
     def record_connection_end(self, cause: ConnectionEnd, response: HttpResponse | None) -> None:
--- a/packages/gateway/tests/test_proper_requests.py
+++ b/packages/gateway/tests/test_proper_requests.py
@@ -127,3 +127,14 @@
     first, second = _ALL["host with a port"], _head(32_768, b"x-a: " + b"b" * 1000 + b"\r\n")
     parts = [first, second[:20_000], second[20_000:]]
     assert run(_statuses, parts, old, new, 2)[0] == [200, 200]
+
+
+@pytest.mark.parametrize("status", [413, 431])
+def test_size_above_the_default_is_refused_as_not_run_before_the_configuration_is_known(status):
+    """Guards against denying a request by limits that are not the configuration's."""
+    forwarder, state = new_forwarder([])
+    assert forwarder.reject(status, "too large").status == status
+    state.object_applier.configuration = None
+    answer = forwarder.reject(status, "too large")
+    assert answer.status == 503
+    assert float(answer.header(b"retry-after")) > 0
