Refuse a body in too many chunks with 503 at a gateway

Callers saw: 400 for a body inside max_body_bytes that came in many small chunks, such as 7,200 bytes in chunks of one (DENIED).

Cause: the number of chunks is limited as protection, and a body beyond that limit was refused as if it broke HTTP.

Evidence: test_proper_requests.py with the status of before: 'assert [400] == [503]'. 4,000 chunks of one byte passed before.

Change: the status is one of the listener's limits. A gateway's callers get 503, which promises that the request was not run; the limit itself, and the 400 of the other listeners, stay.

Measured: test_proper_requests.py, test_chunk_limit.py, test_client_limits.py, test_odd_headers.py and test_endless_bytes.py pass.

--- a/packages/gateway/src/carawayquay_gateway/client_limits.py
+++ b/packages/gateway/src/carawayquay_gateway/client_limits.py
@@ -28,6 +28,9 @@
 #: Timeout for receiving a body; the caller's own deadline usually comes earlier.
 BODY_SECONDS = 60.0
 
+#: Answers a body in too many chunks, which HTTP and the configuration allow, as not run.
+_MANY_CHUNKS_STATUS = 503
+
 #: Size of the shortest header: a name of one byte, a colon, and the end of the line.
 _MIN_HEADER_BYTES = 4
 
@@ -90,6 +93,7 @@
         body_seconds=BODY_SECONDS,
         header_seconds=limits.header_timeout.total_seconds(),
         idle_seconds=limits.idle_timeout.total_seconds(),
+        many_chunks_status=_MANY_CHUNKS_STATUS,
     )
 
 
--- a/packages/gateway/tests/test_proper_requests.py
+++ b/packages/gateway/tests/test_proper_requests.py
@@ -138,3 +138,13 @@
     answer = forwarder.reject(status, "too large")
     assert answer.status == 503
     assert float(answer.header(b"retry-after")) > 0
+
+
+@pytest.mark.parametrize(("count", "statuses", "runs"), [(4000, [200], 1), (7200, [503], 0)])
+def test_body_in_too_many_chunks_is_refused_as_not_run(count, statuses, runs):
+    """Guards against denying a body inside the limits by a limit that no configuration names."""
+    limits = configured_limits(HttpLimits(), TrafficLimits(4096, 8192, _SECOND * 9, _SECOND))
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * count + b"0\r\n\r\n"
+    given, requests = run(_statuses, [_POST + _ID + chunked], limits)
+    assert given == statuses
+    assert len(requests) == runs
--- a/packages/wire/src/carawayquay_wire/chunk_limit.py
+++ b/packages/wire/src/carawayquay_wire/chunk_limit.py
@@ -17,9 +17,13 @@
 
 
 class ChunkLimit:
-    """Counts the chunks of one body, and lets other tasks run in between."""
+    """Counts the chunks of one body, and lets other tasks run in between.
 
-    def __init__(self) -> None:
+    :param status: the status that the error names if there are too many
+    """
+
+    def __init__(self, status: int = 400) -> None:
+        self._status = status
         self._parts = 0
         self._chunks = 0
 
@@ -32,6 +36,7 @@
         self._parts += 1
         self._chunks += part.chunk_end
         if self._chunks > _FREE_CHUNKS + size // _BYTES_PER_CHUNK:
-            raise h11.RemoteProtocolError(f"{self._chunks} chunks in a body of {size} bytes")
+            reason = f"{self._chunks} chunks in a body of {size} bytes"
+            raise h11.RemoteProtocolError(reason, self._status)
         if self._parts % _PARTS_PER_TURN == 0:
             await curio.sleep(0)
--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -29,6 +29,7 @@
     :param min_read_bytes_per_s: rate at which a client has to read an answer, judged over several
         seconds, 0 for none
     :param send_buffer_bytes: size of the send buffer of a connection's socket, 0 for the kernel's
+    :param many_chunks_status: status of the answer to a body in too many chunks for its size
     """
 
     header_bytes: int = 16 * 1024
@@ -41,6 +42,7 @@
     connections: int = 1000
     min_read_bytes_per_s: float = 0.0
     send_buffer_bytes: int = 0
+    many_chunks_status: int = 400
 
 
 @attrs.frozen
--- a/packages/wire/src/carawayquay_wire/request_reading.py
+++ b/packages/wire/src/carawayquay_wire/request_reading.py
@@ -109,7 +109,7 @@
         continue_response = h11.InformationalResponse(status_code=100, headers=[])
         await sock.sendall(connection.send(continue_response))
     body = bytearray()
-    chunks = ChunkLimit()
+    chunks = ChunkLimit(limits.many_chunks_status)
     try:
         async with curio.timeout_after(limits.body_seconds):
             await reservation.grow_to(length)
