Let other VMs' requests, and what comes later than its turn, take turns too

Found by the review of the turns. The number of requests that may begin in a round of the event loop follows the duration of the rounds, whatever takes the time. Change: the listener for other VMs shares the callers' turns, its deadlines count from the first bytes too, and a request that was not whole within 10 ms of its turn takes another one.

--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -33,7 +33,7 @@
     :param api_key: the key in its ``Authorization`` header, or None; never logged
     :param organisation: name of the organisation that holds the key, empty if there is none or the
         key was not checked
-    :param waited: time from its arrival until this VM had time to read it
+    :param waited: time from its first bytes until its turn to be handled
     """
 
     request_id: str
--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -134,6 +134,7 @@
             Watcher(self._state, self._store, replica, generator)
             for replica in self._state.replicas.values()
         ]
+        self._configuration_sync = ConfigurationSync(self._state, generator)
         self._registrar = VMRegistrar(self._state, self._store, generator)
         crashes = CrashCounts()
         warm = WarmGossip()
@@ -174,6 +175,7 @@
             self._peer_requests.reject,
             _peer_limits(settings, HttpLimits()),
             bodies,
+            turns=self._turns,
         )
         self._peer_listener = Listener(settings.peer_requests, self._peer_server.serve)
         self._listeners = [
@@ -217,7 +219,7 @@
             await group.spawn(self._quotas.run)
             for watcher in self._watchers:
                 await group.spawn(watcher.run)
-            await group.spawn(ConfigurationSync(self._state).run)
+            await group.spawn(self._configuration_sync.run)
             await group.spawn(self._registrar.run)
             await group.spawn(self._update_state)
             await group.spawn(
--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -130,7 +130,8 @@
         if service not in {weighted.service for weighted in route.services}:
             # The route was moved since the sender's version.
             service = WeightedChoice(route.services, self._random.random()).next()
-        deadline = now + min(request.remaining, route.timeout) - _ANSWER_MARGIN
+        arrived = now - request.call.waited
+        deadline = arrived + min(request.remaining, route.timeout) - _ANSWER_MARGIN
         if deadline <= now:
             return RefusalReason.NO_CAPACITY
         if state.planned_stop is not None and not state.planned_stop.admits(deadline, now):
@@ -143,7 +144,7 @@
             route,
             service,
             configuration.version,
-            now - request.elapsed,
+            arrived - request.elapsed,
             deadline,
             fingerprint,
             set(request.tried),
--- a/packages/wire/src/carawayquay_wire/http.py
+++ b/packages/wire/src/carawayquay_wire/http.py
@@ -52,7 +52,7 @@
     :param target: path and query as sent
     :param headers: pairs of name and value, names in lower case
     :param peer: the caller's IP address
-    :param waited_seconds: time from its arrival until the server had time to read it
+    :param waited_seconds: time from its first bytes until its turn to be handled
     """
 
     method: str
--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -61,6 +61,9 @@
 #: Number of checks for expired deadlines within the shorter of idle and write timeout.
 _SWEEPS_PER_TIMEOUT = 8
 
+#: Time from a request's turn until it is whole, after which it takes another turn.
+_LATE_REST_SECONDS = 0.01
+
 #: Body budget of a server that was created without one.
 _DEFAULT_BODY_BUDGET_BYTES = 64 * 1024 * 1024
 
@@ -297,6 +300,7 @@
             waited_seconds = await self._wait_for_turn(sock, connection, held)
             if waited_seconds is None:
                 return None
+            began_at = time.monotonic()
             head = await self._read_head(sock, connection)
             if head is None:
                 return None
@@ -306,6 +310,12 @@
             )
         except h11.RemoteProtocolError as error:
             raise RejectedError(error.error_status_hint, str(error)) from error
+        if time.monotonic() - began_at > _LATE_REST_SECONDS:
+            # What came later than its turn takes another one.
+            late_seconds = await self._wait_for_turn(sock, connection, held)
+            if late_seconds is None:
+                return None
+            waited_seconds += late_seconds
         target, headers = origin_form(head)
         return HttpRequest(
             method=head.method.decode("ascii"),
--- a/packages/wire/src/carawayquay_wire/request_turns.py
+++ b/packages/wire/src/carawayquay_wire/request_turns.py
@@ -14,7 +14,7 @@
 _CYCLE_SECONDS = 0.05
 
 #: Requests that begin in a cycle at most, so that the first cycle of a crowd is bounded too.
-_MAX_PER_CYCLE = 32
+_MAX_REQUESTS_PER_CYCLE = 32
 
 #: Growth of that number with each cycle that was short enough.
 _GROWTH = 1.1
@@ -29,7 +29,7 @@
     """
 
     def __init__(self) -> None:
-        self._limit = float(_MAX_PER_CYCLE)
+        self._limit = float(_MAX_REQUESTS_PER_CYCLE)
         self._begun = 0
         self._first_begun_at = 0.0
         self._began_any = curio.Event()
@@ -86,4 +86,4 @@
         if seconds > _CYCLE_SECONDS:
             self._limit = max(1.0, self._limit * max(0.5, _CYCLE_SECONDS / seconds))
         else:
-            self._limit = min(float(_MAX_PER_CYCLE), self._limit * _GROWTH)
+            self._limit = min(float(_MAX_REQUESTS_PER_CYCLE), self._limit * _GROWTH)
