--- a/packages/gateway/src/carawayquay_gateway/admin.py
+++ b/packages/gateway/src/carawayquay_gateway/admin.py
@@ -25,6 +25,9 @@
 
 _BYTES_PER_MBIT = 125_000
 
+#: Answers up to this size are never put off behind others.
+_MAX_SMALL_BYTES = 4096
+
 #: Share of this VM's link for the objects that other VMs pull.
 _PULL_SHARE = 0.5
 
@@ -64,20 +67,21 @@
                 return self._pulled(request)
 
     def _pulled(self, request: HttpRequest) -> HttpResponse:
-        """Answer a pull of objects, unless too many were answered lately.
+        """Answer a pull of objects, unless it is large and too many were answered lately.
 
         All VMs of a domain pull a change at once. If all were answered, none would have its answer
         in time where the link is narrow.
         """
+        response = self._objects(parse_pull(request.target))
+        if accepts_deflate(request):
+            response = deflated(response)
+        size = len(response.body)
         rate = self._state.settings.link_mbps * _BYTES_PER_MBIT * _PULL_SHARE
         self._object_bytes.fill(rate, self._state.clock.now())
-        if rate and self._object_bytes.tokens < 0:
+        if rate and size > _MAX_SMALL_BYTES and self._object_bytes.tokens < 0:
             self._state.metrics.count("pulls_deferred_total")
             return HttpResponse(503)
-        response = self._objects(parse_pull(request.target))
-        if accepts_deflate(request):
-            response = deflated(response)
-        self._object_bytes.tokens -= len(response.body)
+        self._object_bytes.tokens -= size
         return response
 
     def _objects(self, query: PullQuery) -> HttpResponse:
