--- a/packages/core/src/carawayquay/entry_peers.py
+++ b/packages/core/src/carawayquay/entry_peers.py
@@ -23,7 +23,7 @@
         VMIdentity,
     )
 
-__all__ = ["EntryPeers", "Holder", "Peer", "RegionRates"]
+__all__ = ["EntryPeers", "Holder", "NewestConfiguration", "Peer", "RegionRates"]
 
 #: Time without a report after which a sender's in-flight counts expire, as a duration and in report
 #: intervals; the longer of the two applies.
@@ -90,6 +90,17 @@
     host: str
 
 
+@attrs.frozen
+class NewestConfiguration:
+    """The highest configuration version that other VMs have in force.
+
+    :param hosts: IP addresses of VMs that have it
+    """
+
+    version: int
+    hosts: tuple[str, ...]
+
+
 class EntryPeers:
     """The known entry VMs, and the sums over their load reports.
 
@@ -220,23 +231,27 @@
         """
         return self._newest.get(index, NO_REVISION)
 
-    def newest_configuration(self, now: timedelta) -> tuple[int, str] | None:
-        """Return the highest configuration version of the live VMs, and the host of one with it.
+    def newest_configuration(self, now: timedelta) -> NewestConfiguration | None:
+        """Return the highest configuration version of the live VMs, and those that have it.
 
-        Return None if no VM reports a version.
+        The VMs are those of the own domain if any of them has it. Return None if no VM reports a
+        version.
         """
-        found = [
+        own = [
             (peer.report.version, peer.identity.host)
             for peer in self._peers.values()
             if peer.report is not None and peer.live(now)
         ]
-        found += [
+        others = [
             (domain.summary.version, domain.summary.sender.host)
             for domain in self._remote_domains
             if domain.summary is not None and domain.live(now)
         ]
-        newest = max(found, default=None)
-        return newest if newest is not None and newest[0] else None
+        version = max((version for version, _ in (*own, *others)), default=0)
+        if not version:
+            return None
+        found = [[host for it, host in group if it == version] for group in (own, others)]
+        return NewestConfiguration(version, tuple(found[0] or found[1]))
 
     def learn(self, identity: VMIdentity, now: timedelta) -> None:
         """Add a VM that was learned from gossip; it is not live until it reports."""
--- a/packages/gateway/src/carawayquay_gateway/configuration_sync.py
+++ b/packages/gateway/src/carawayquay_gateway/configuration_sync.py
@@ -13,6 +13,8 @@
 from carawayquay_wire.events import Event, EventLog
 
 if TYPE_CHECKING:
+    from random import Random
+
     from carawayquay_gateway.state import GatewayState
 
 __all__ = ["ConfigurationSync"]
@@ -25,6 +27,9 @@
 #: Time between two pulls of a version that the first one did not bring.
 _RETRY_INTERVAL = timedelta(seconds=2)
 
+#: Time until the next pull after one that was not answered, or was put off.
+_FAILURE_INTERVAL = timedelta(seconds=0.2)
+
 _TIMEOUT = timedelta(milliseconds=500)
 
 
@@ -35,8 +40,9 @@
     than the one in force at VMs that ran before the restore.
     """
 
-    def __init__(self, state: GatewayState) -> None:
+    def __init__(self, state: GatewayState, random: Random) -> None:
         self._state = state
+        self._random = random
         self._pull_at: timedelta | None = None
 
     async def run(self) -> None:
@@ -44,14 +50,14 @@
         while True:
             await self._state.ticker.next()
             host = self._due_source()
-            if host is not None:
-                await self._pull(host)
+            if host is not None and not await self._pull(host):
+                self._pull_at = self._state.clock.now() + _FAILURE_INTERVAL
 
     def _due_source(self) -> str | None:
         """Return the host of a VM to pull from now, or None."""
         now = self._state.clock.now()
         newest = self._state.peers.newest_configuration(now)
-        if newest is None or newest[0] <= self._state.configuration_version:
+        if newest is None or newest.version <= self._state.configuration_version:
             self._pull_at = None
             return None
         if self._pull_at is None:
@@ -59,9 +65,10 @@
         if now < self._pull_at:
             return None
         self._pull_at = now + _RETRY_INTERVAL
-        return newest[1]
+        return self._random.choice(newest.hosts)
 
-    async def _pull(self, host: str) -> None:
+    async def _pull(self, host: str) -> bool:
+        """Pull from a VM, and return whether it answered."""
         address = Address(host, self._state.settings.admin.port)
         peer = PlatformStoreClient(address, _TIMEOUT, headers=(ACCEPT_DEFLATE,))
         try:
@@ -69,8 +76,9 @@
         except StoreError as error:
             kind = ObjectKind.CONFIGURATION.name
             _log.warning(Event.PULL_FAILED, kind=kind, peer=address, reason=error)
-        else:
-            for stored in listing.objects:
-                self._state.object_applier.apply_configuration(stored)
+            return False
         finally:
             await peer.close()
+        for stored in listing.objects:
+            self._state.object_applier.apply_configuration(stored)
+        return True
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -220,7 +220,7 @@
                 ErrorKind.UNKNOWN_ROUTE,
                 reason,
                 version=version,
-                newest_version=max(version, newest[0] if newest is not None else 0),
+                newest_version=max(version, newest.version if newest is not None else 0),
             )
         reason = f"the route in configuration version {version} is invalid"
         return self._answers.request_error(
