Let other tasks run while the input of a closing connection is discarded

What callers would see: nothing is answered as long as a client sends without a pause behind a request that was refused.

Cause: after a refusal that closes, what arrives is read and discarded. A read of bytes that are there returns without giving the event loop a turn, so a client that sends as fast as it is read keeps all other tasks, and the task that ends such connections, from running.

Change: other tasks run between two reads.

--- a/packages/wire/src/carawayquay_wire/socket_closing.py
+++ b/packages/wire/src/carawayquay_wire/socket_closing.py
@@ -9,6 +9,8 @@
 from contextlib import suppress
 from typing import Any
 
+import curio
+
 __all__ = ["discard_input", "reset_on_close", "shut_down", "unacknowledged_bytes"]
 
 _READ_BYTES = 65536
@@ -41,7 +43,10 @@
 
 
 async def discard_input(sock: Any) -> None:
-    """Read and discard what arrives until the other end closes, or the connection fails."""
+    """Read and discard what arrives until the other end closes, or the connection fails.
+
+    Other tasks run between two reads, since a read of bytes that are there does not wait.
+    """
     with suppress(OSError):
         while await sock.recv(_READ_BYTES):
-            pass
+            await curio.sleep(0)
