Let other tasks run while many new connections are accepted

What callers would see: nothing is answered while clients open connections as fast as they are accepted, and each of them takes memory and a descriptor before the limit of connections can close it.

Cause: accepting a connection that is there, and starting its task, do not give the event loop a turn, so the limits of the server come too late.

Evidence: test_listener.py, 300 connections in the backlog: all 300 accepted before one of them was served.

Change: other tasks run after each 32 accepted connections.

Measured: the test fails before (300 in one turn, 64 allowed) and passes after.

--- a/packages/wire/src/carawayquay_wire/listener.py
+++ b/packages/wire/src/carawayquay_wire/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import itertools
 from typing import TYPE_CHECKING, Any
 
 import curio
@@ -21,6 +22,9 @@
 _log = EventLog("listener")
 
 _BACKLOG = 512
+#: Connections that are accepted before other tasks have their turn: accepting one that is there
+#: does not wait.
+_ACCEPTED_PER_TURN = 32
 #: Pause after a failed accept. If no file descriptor was free, open connections may end meanwhile.
 _ACCEPT_RETRY_SECONDS = 0.1
 #: Errors of accept that concern the one connection and not the listening socket.
@@ -87,7 +91,9 @@
             await self._closed.wait()
 
     async def _accept_loop(self) -> None:
-        while True:
+        for number in itertools.count(1):
+            if number % _ACCEPTED_PER_TURN == 0:
+                await curio.sleep(0)
             try:
                 sock, peer = await self._sock.accept()
             except OSError as error:
--- a/packages/wire/tests/test_listener.py
+++ b/packages/wire/tests/test_listener.py
@@ -11,6 +11,11 @@
 from carawayquay.membership import Address
 from carawayquay_wire.listener import Listener
 
+_BACKLOG_CONNECTIONS = 300
+
+#: Connections that may be accepted before other tasks have their turn.
+_MAX_ACCEPTED_IN_A_TURN = 64
+
 
 async def _serve(sock, _):
     await sock.recv(1)
@@ -95,3 +100,26 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return sock.getsockname()[1]
+
+
+def test_backlog_full_of_connections_holds_up_no_other_task():
+    accepted_by_turn = []
+
+    async def serve(sock, _):
+        accepted_by_turn[-1] += 1
+
+    async def go():
+        listener = Listener(Address("127.0.0.1", 0), serve)
+        running = await curio.spawn(listener.run)
+        await curio.sleep(0.01)
+        address = listener._sock.getsockname()
+        clients = [socket.create_connection(address) for _ in range(_BACKLOG_CONNECTIONS)]
+        while sum(accepted_by_turn) < _BACKLOG_CONNECTIONS:
+            accepted_by_turn.append(0)
+            await curio.sleep(0)
+        for client in clients:
+            client.close()
+        await running.cancel()
+
+    curio.run(go)
+    assert max(accepted_by_turn) <= _MAX_ACCEPTED_IN_A_TURN
