Show what a few clients that send ahead and read nothing cost each process

The bound is the memory of the settings, for the most resident memory and the bytes that were received and not read, which the pages count too.

--- a/packages/gateway/tests/uncontrolled_clients.py
+++ b/packages/gateway/tests/uncontrolled_clients.py
@@ -22,7 +22,7 @@
 from carawayquay_wire.http_client import HttpClient, HttpError
 from carawayquay_wire.http_server import HttpServer
 
-__all__ = ["DESCRIPTORS", "MEMORY_MB", "Crowd", "GatewaySite"]
+__all__ = ["DESCRIPTORS", "MEMORY_MB", "Crowd", "GatewaySite", "is_answered"]
 
 _HOST = "127.9.44.1"
 
@@ -34,6 +34,7 @@
 _BYTES_IN_MB = 1_000_000
 _SMALL_BODY = b"x" * 500
 _LARGE_BODY = b"x" * 200_000
+_HUGE_BODY = b"x" * 540_000
 
 #: Time in which an ordinary request has to get an answer, also if it is tried again.
 _ORDINARY_SECONDS = 20.0
@@ -68,11 +69,14 @@
 class GatewaySite:
     """A gateway process with low limits, its store, and a target.
 
+    :param memory_mb: memory that its settings allow, in MB
+    :param descriptors: descriptors that its settings allow
     :ivar store: the store's stand-in
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, memory_mb=MEMORY_MB, descriptors=DESCRIPTORS):
         self.store = PlatformStoreStandIn()
+        self._limits = f"[limits]\nmemory_mb = {memory_mb}\ndescriptors = {descriptors}\n"
         self._folder = folder
         self._process = None
         self._ports = ()
@@ -94,9 +98,8 @@
         for position, port in enumerate(ports[:4], 1):
             text = text.replace(f"127.0.0.1:700{position}", f"{_HOST}:{port}")
         text = text.replace("7010,7020", f"{ports[4]},{ports[4] + 1}")
-        text += f"[limits]\nmemory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n"
         path = self._folder / "gateway.ini"
-        path.write_text(text)
+        path.write_text(text + self._limits)
         self._process = launch_gateway(path, path.with_suffix(".log"))
 
     @property
@@ -114,6 +117,21 @@
         """Where callers look VMs up."""
         return Address(_HOST, self._ports[2])
 
+    @property
+    def admin(self):
+        """Where operators and other VMs ask for state and objects."""
+        return Address(_HOST, self._ports[3])
+
+    @property
+    def peer_requests(self):
+        """Where other VMs send requests of their callers."""
+        return Address(_HOST, self._ports[4])
+
+    @property
+    def pid(self):
+        """The id of the process."""
+        return self._process.pid
+
     @property
     def alive(self):
         """Whether the process runs."""
@@ -138,22 +156,23 @@
             (b"request-id", b"c1"),
             (b"deadline-ms", b"3000"),
         )
-        return await _is_answered(self.callers, HttpRequest("GET", "/reports/small", headers, b""))
+        return await is_answered(self.callers, HttpRequest("GET", "/reports/small", headers, b""))
 
     async def answers_ready_check(self):
         """Return whether an ordinary readiness check gets its answer."""
-        return await _is_answered(self.ready, HttpRequest("GET", "/ready", (), b""))
+        return await is_answered(self.ready, HttpRequest("GET", "/ready", (), b""))
 
     async def answers_lookup(self):
         """Return whether an ordinary look-up gets its answer."""
         lookup = HttpRequest("GET", "/resolve?domain=puget-a", (), b"")
-        return await _is_answered(self.lookups, lookup)
+        return await is_answered(self.lookups, lookup)
 
     async def configuration_version(self):
         """Return the version of the configuration in force, 0 without an answer."""
-        admin = Address(_HOST, self._ports[3])
         try:
-            answer = await HttpClient().exchange(admin, HttpRequest("GET", "/dump", (), b""), 5.0)
+            answer = await HttpClient().exchange(
+                self.admin, HttpRequest("GET", "/dump", (), b""), 5.0
+            )
         except HttpError:
             return 0
         return json.loads(answer.body)["configuration"]
@@ -192,7 +211,8 @@
 async def _serve(request):
     if request.target.startswith("/health"):
         return HttpResponse(200)
-    body = _LARGE_BODY if "large" in request.target else _SMALL_BODY
+    bodies = {"/reports/large": _LARGE_BODY, "/reports/huge": _HUGE_BODY}
+    body = bodies.get(request.target, _SMALL_BODY)
     headers = (
         (b"request-id", request.header(b"request-id").encode()),
         (b"server-stamp", b"s1"),
@@ -200,7 +220,7 @@
     return HttpResponse(200, headers, body)
 
 
-async def _is_answered(address, request):
+async def is_answered(address, request):
     """Send a request, again after a refusal or without an answer, and return whether it got 200."""
     client = HttpClient()
     ends = time.monotonic() + _ORDINARY_SECONDS
