Free the memory of an answer once it is sent

What the users saw: clients that sent many requests ahead and left the answers unread ended a process, which ran out of memory.

Cause: each answer is awaited in a task of a group, and group and tasks refer to each other. The task kept the answer as its result, so that its memory was free only when the garbage collector ran, which counts objects and not their bytes. No budget counts an answer that was sent.

Change: the answer is handed over in a list that is empty afterwards.

--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -363,13 +363,20 @@
     async def _await_unless_closed(
         self, sock: Any, connection: h11.Connection, held: ConnectionBytes, work: Any
     ) -> HttpResponse | None:
-        """Await the response; cancel the work and return None if the caller closes first."""
+        """Await the response; cancel the work and return None if the caller closes first.
+
+        The group and its tasks refer to each other until the garbage collector runs, so the
+        response, which may be large, is not left in one of them.
+        """
+        responses: list[HttpResponse | None] = []
         async with curio.TaskGroup(wait=any) as group:
-            response_task = await group.spawn(_await_result, work)
+            response_task = await group.spawn(_append_result, work, responses)
             await group.spawn(self._wait_closed, sock, connection, held)
-        if group.completed is response_task:
-            return response_task.result
-        return None
+        if group.completed is not response_task:
+            return None
+        if response_task.exception is not None:
+            raise response_task.exception
+        return responses.pop()
 
     async def _wait_closed(
         self, sock: Any, connection: h11.Connection, held: ConnectionBytes
@@ -410,5 +417,5 @@
     return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
 
-async def _await_result(work: Any) -> HttpResponse | None:
-    return await work
+async def _append_result(work: Any, results: list[HttpResponse | None]) -> None:
+    results.append(await work)
