Limit the answers that other VMs leave unread

What callers would see: a VM is ended for its memory while many connections for other VMs' requests hold answers that nobody reads.

Cause: the listener for other VMs' requests had no budget for what its connections hold, and no least rate of reading.

Change: a budget of 0.15 of the memory, with the share of one address and the rate that callers have. A refusal says as before that the VM is busy, and that the request has not run.

--- a/packages/gateway/src/carawayquay_gateway/app.py
+++ b/packages/gateway/src/carawayquay_gateway/app.py
@@ -25,6 +25,7 @@
     SEND_BUFFER_BYTES,
     ClientListener,
     new_budget,
+    new_peer_budget,
     side_limits,
 )
 from carawayquay_gateway.configuration_sync import ConfigurationSync
@@ -159,6 +160,7 @@
         )
         self._ends = ClientEnds(self._state)
         self._budgets = {it: new_budget(settings, it) for it in ClientListener}
+        peer_budget = new_peer_budget(settings)
         bodies = BodyBudget(int(settings.memory_mb * _BYTES_IN_MB * _BODIES_SHARE))
         self._turns = RequestTurns()
         self._caller_server = HttpServer(
@@ -176,6 +178,8 @@
             self._peer_requests.reject,
             _peer_limits(settings, HttpLimits()),
             bodies,
+            self._ends.observer("peer_requests"),
+            peer_budget,
         )
         self._peer_listener = Listener(settings.peer_requests, self._peer_server.serve)
         self._listeners = [
@@ -193,7 +197,8 @@
         gauge("requests_active", lambda: self._forwarder.active)
         gauge("requests_waiting", lambda: float(self._turns.waiting))
         gauge("body_bytes", lambda: float(bodies.used))
-        gauge("client_bytes", lambda: float(sum(it.used for it in self._budgets.values())))
+        budgets = (*self._budgets.values(), peer_budget)
+        gauge("client_bytes", lambda: float(sum(it.used for it in budgets)))
         gauge("configuration_remarks", lambda: float(len(self._state.object_applier.remarks)))
         gauge("objects_refused", lambda: float(len(self._state.object_applier.refused)))
         gauge("targets_limited", lambda: float(self._state.target_limits.limited))
@@ -334,6 +339,7 @@
         body_seconds=_BODY_SECONDS,
         idle_seconds=MAX_PEER_IDLE.total_seconds() + _PEER_IDLE_MARGIN_SECONDS,
         connections=int(settings.descriptors * _PEERS_SHARE),
+        min_read_bytes_per_s=settings.min_read_bytes_per_s,
     )
 
 
--- a/packages/gateway/src/carawayquay_gateway/client_limits.py
+++ b/packages/gateway/src/carawayquay_gateway/client_limits.py
@@ -11,7 +11,13 @@
 if TYPE_CHECKING:
     from carawayquay_gateway.settings import GatewaySettings
 
-__all__ = ["SEND_BUFFER_BYTES", "ClientListener", "new_budget", "side_limits"]
+__all__ = [
+    "SEND_BUFFER_BYTES",
+    "ClientListener",
+    "new_budget",
+    "new_peer_budget",
+    "side_limits",
+]
 
 _BYTES_IN_MB = 1_000_000
 
@@ -47,6 +53,9 @@
     ClientListener.ADMIN: 0.2,
 }
 
+#: Share of the process's memory for the answers that other VMs have not taken.
+_PEER_MEMORY_SHARE = 0.15
+
 #: Shares of the process's descriptors for the connections of the side listeners.
 _DESCRIPTOR_SHARES = {
     ClientListener.READY: 0.04,
@@ -61,6 +70,12 @@
     return ConnectionBudget(int(memory * _MEMORY_SHARES[listener]), settings.client_address_share)
 
 
+def new_peer_budget(settings: GatewaySettings) -> ConnectionBudget:
+    """Return the budget of what the connections for other VMs' requests hold."""
+    memory = settings.memory_mb * _BYTES_IN_MB * _PEER_MEMORY_SHARE
+    return ConnectionBudget(int(memory), settings.client_address_share)
+
+
 def side_limits(settings: GatewaySettings, listener: ClientListener) -> HttpLimits:
     """Return the limits of a listener that answers without waiting and reads no bodies."""
     connections = int(settings.descriptors * _DESCRIPTOR_SHARES[listener])
--- a/packages/gateway/tests/test_client_limits.py
+++ b/packages/gateway/tests/test_client_limits.py
@@ -10,7 +10,12 @@
 
 from carawayquay.clock import ManualClock
 from carawayquay_gateway.client_ends import ClientEnds
-from carawayquay_gateway.client_limits import ClientListener, new_budget, side_limits
+from carawayquay_gateway.client_limits import (
+    ClientListener,
+    new_budget,
+    new_peer_budget,
+    side_limits,
+)
 from carawayquay_gateway.settings import parse_gateway_settings
 from carawayquay_wire.connection_ends import ConnectionEnd
 
@@ -28,6 +33,15 @@
     assert budget.slowest_over_capacity("192.0.2.1", 10.0) is None
 
 
+def test_answers_that_another_vm_has_not_taken_fit_many_times_into_the_smallest_vm():
+    budget = new_peer_budget(_with_limits("memory_mb = 152"))
+    held = [budget.open("192.0.2.1") for _ in range(15)]
+    for it in held:
+        assert budget.allows_request(it)
+        budget.start_answer(it, 540_000, 0.0)
+    assert budget.slowest_over_capacity("192.0.2.1", 10.0) is None
+
+
 def test_side_listeners_leave_most_descriptors_to_callers():
     sides = [it for it in ClientListener if it is not ClientListener.CALLERS]
     total = sum(side_limits(settings(), it).connections for it in sides)
