--- a/packages/gateway/src/carawayquay_gateway/client_limits.py
+++ b/packages/gateway/src/carawayquay_gateway/client_limits.py
@@ -20,6 +20,7 @@
     "ClientListener",
     "configured_limits",
     "new_budget",
+    "new_peer_budget",
     "side_limits",
 ]
 
@@ -66,6 +67,9 @@
     ClientListener.ADMIN: 0.2,
 }
 
+#: Share of the process's memory for the answers that other VMs have not taken.
+_PEER_MEMORY_SHARE = 0.15
+
 #: Shares of the process's descriptors for the connections of the side listeners.
 _DESCRIPTOR_SHARES = {
     ClientListener.READY: 0.04,
@@ -97,6 +101,12 @@
     )
 
 
+def new_peer_budget(settings: GatewaySettings) -> ConnectionBudget:
+    """Return the budget of what the connections for other VMs' requests hold."""
+    memory = settings.memory_mb * _BYTES_IN_MB * _PEER_MEMORY_SHARE
+    return ConnectionBudget(int(memory), settings.client_address_share)
+
+
 def side_limits(settings: GatewaySettings, listener: ClientListener) -> HttpLimits:
     """Return the limits of a listener that answers without waiting and reads no bodies."""
     connections = int(settings.descriptors * _DESCRIPTOR_SHARES[listener])
