Share the constructor of errors that list problems

DocumentError and SettingsError had the same constructor and attribute. Both now derive from one private class; their messages and their places in the hierarchy stay. Tests of settings, documents, errors and configurations of the packages passed.

--- a/packages/core/src/carawayquay/errors.py
+++ b/packages/core/src/carawayquay/errors.py
@@ -160,8 +160,8 @@
     """An object of the store is invalid."""
 
 
-class DocumentError(ObjectError):
-    """A service's document is invalid.
+class _ProblemsError(CarawayquayError):
+    """Some text is invalid.
 
     :param problems: one message for each violated rule
     """
@@ -171,15 +171,12 @@
         self.problems = problems
 
 
-class SettingsError(CarawayquayError):
-    """A settings file is invalid.
+class DocumentError(_ProblemsError, ObjectError):
+    """A service's document is invalid."""
 
-    :param problems: one message for each violated rule
-    """
 
-    def __init__(self, problems: tuple[str, ...]) -> None:
-        super().__init__("; ".join(problems))
-        self.problems = problems
+class SettingsError(_ProblemsError):
+    """A settings file is invalid."""
 
 
 class BlockMapError(CarawayquayError):
