Write the settings that both programs have once

The tables of the daemon and of the gateway repeated the rows of the VM's name, domain and region, of the callers' address, the store's timeout and the log level. They now share them; a comparison of both tables before and after shows the same rows in the same order.

--- a/packages/core/src/carawayquay/settings.py
+++ b/packages/core/src/carawayquay/settings.py
@@ -17,7 +17,10 @@
     from pathlib import Path
 
 __all__ = [
+    "LOG_LEVEL",
     "SETTINGS",
+    "STORE_TIMEOUT",
+    "VM_SETTINGS",
     "ParsedSettings",
     "Setting",
     "SettingKind",
@@ -84,17 +87,26 @@
         return f"{self.kind.value} from {self.low:.10g} to {self.high:.10g}"
 
 
-SETTINGS = (
+#: What names an entry VM, and where it listens for callers, in every program that runs on one.
+VM_SETTINGS = (
     Setting("vm", "name", SettingKind.NAME, "name", "name of this entry VM"),
     Setting("vm", "domain", SettingKind.NAME, "domain", "its failure domain"),
     Setting("vm", "region", SettingKind.NAME, "region", "its region"),
     Setting("listen", "callers", SettingKind.ADDRESS, "callers", "address for callers"),
+)
+STORE_TIMEOUT = Setting(
+    "store", "timeout", SettingKind.SECONDS, "store_timeout", "time for a call", "1", 0.05, 30
+)
+LOG_LEVEL = Setting(
+    "log", "level", SettingKind.LEVEL, "log_level", "lowest level that is logged", "INFO"
+)
+
+SETTINGS = (
+    *VM_SETTINGS,
     Setting("listen", "peers", SettingKind.ADDRESS, "peers", "address for other entry VMs"),
     Setting("listen", "admin", SettingKind.ADDRESS, "admin", "address for operators"),
     Setting("store", "address", SettingKind.ADDRESS, "store", "the platform's object API"),
-    Setting(
-        "store", "timeout", SettingKind.SECONDS, "store_timeout", "time for a call", "1", 0.05, 30
-    ),
+    STORE_TIMEOUT,
     Setting(
         "peers", "seeds", SettingKind.ADDRESSES, "seeds", "peers to ask while the store is away", ""
     ),
@@ -138,7 +150,7 @@
         0,
         600,
     ),
-    Setting("log", "level", SettingKind.LEVEL, "log_level", "lowest level that is logged", "INFO"),
+    LOG_LEVEL,
 )
 
 
--- a/packages/gateway/src/carawayquay_gateway/settings.py
+++ b/packages/gateway/src/carawayquay_gateway/settings.py
@@ -11,6 +11,9 @@
 from carawayquay.membership import Address
 from carawayquay.quotas import QuotaTolerance
 from carawayquay.settings import (
+    LOG_LEVEL,
+    STORE_TIMEOUT,
+    VM_SETTINGS,
     Setting,
     SettingKind,
     parse_table_leniently,
@@ -29,10 +32,7 @@
 _DEADLINES = "deadlines"
 
 GATEWAY_SETTINGS = (
-    Setting("vm", "name", SettingKind.NAME, "name", "name of this entry VM"),
-    Setting("vm", "domain", SettingKind.NAME, "domain", "its failure domain"),
-    Setting("vm", "region", SettingKind.NAME, "region", "its region"),
-    Setting("listen", "callers", SettingKind.ADDRESS, "callers", "address for callers"),
+    *VM_SETTINGS,
     Setting("listen", "ready", SettingKind.ADDRESS, "ready", "address for readiness checks"),
     Setting("listen", "lookups", SettingKind.ADDRESS, "lookups", "address for callers' look-ups"),
     Setting("listen", "admin", SettingKind.ADDRESS, "admin", "address for operators and peers"),
@@ -45,9 +45,7 @@
     ),
     Setting("peers", "seeds", SettingKind.ADDRESSES, "seeds", "entry VMs to ask at the start", ""),
     Setting("store", "address", SettingKind.ADDRESS, "store", "the platform's store"),
-    Setting(
-        "store", "timeout", SettingKind.SECONDS, "store_timeout", "time for a call", "1", 0.05, 30
-    ),
+    STORE_TIMEOUT,
     Setting(
         "bounds", "lookup_life", SettingKind.DURATION, "lookup_life", "life of a look-up's answer"
     ),
@@ -154,7 +152,7 @@
         0,
         65536,
     ),
-    Setting("log", "level", SettingKind.LEVEL, "log_level", "lowest level that is logged", "INFO"),
+    LOG_LEVEL,
 )
 
 
