--- a/packages/wire/src/carawayquay_wire/http_server.py
+++ b/packages/wire/src/carawayquay_wire/http_server.py
@@ -4,7 +4,6 @@
 
 import inspect
 import socket
-import sys
 import time
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
@@ -21,11 +20,12 @@
 from carawayquay_wire.idle_connections import IdleConnections
 from carawayquay_wire.lingering import LingeringConnections
 from carawayquay_wire.request_reading import (
-    EMPTY_LINE,
     RejectedError,
     check_head,
     content_length,
     first_bytes,
+    new_parser,
+    next_parser,
     origin_form,
     read_body,
     read_head,
@@ -153,7 +153,7 @@
         ):
             await self._refuse(sock)
             return
-        connection = _new_connection()
+        connection = new_parser()
         self._set_send_buffer(sock)
         held = self._sender.open(sock, address[0])
         self._open_count += 1
@@ -175,7 +175,7 @@
     ) -> None:
         """Serve requests until the connection is to close, and let the client receive the rest."""
         while (close := await self._serve_one(sock, connection, held)) is None:
-            connection = _next_parser(connection)
+            connection = next_parser(connection)
         if self._sender.end_cause(sock) is not None:
             return
         if sock not in self._lingering:
@@ -214,7 +214,7 @@
         response = self._reject(503, f"more than {self._limits.connections} connections")
         with suppress(OSError):
             async with curio.ignore_after(_REFUSE_SECONDS):
-                await sock.sendall(encode_response(_new_connection(), response, "GET", True))
+                await sock.sendall(encode_response(new_parser(), response, "GET", True))
                 await sock.shutdown(socket.SHUT_WR)
                 await discard_input(sock)
 
@@ -421,24 +421,5 @@
         return _Close(attrs.evolve(response, body=b"") if sent else None)
 
 
-def _new_connection() -> h11.Connection:
-    """Return a parser without a limit of its own, as that could not follow the configured one."""
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
-
-
-def _next_parser(connection: h11.Connection) -> h11.Connection:
-    """Return the parser of a connection's next request, without empty lines before it."""
-    data, closed = connection.trailing_data
-    if not data.startswith(b"\r"):
-        connection.start_next_cycle()
-        return connection
-    following = _new_connection()
-    if rest := data.lstrip(EMPTY_LINE):
-        following.receive_data(rest)
-    if closed:
-        following.receive_data(b"")
-    return following
-
-
 async def _append_result(work: Any, results: list[HttpResponse | None]) -> None:
     results.append(await work)
--- a/packages/wire/src/carawayquay_wire/request_reading.py
+++ b/packages/wire/src/carawayquay_wire/request_reading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -17,11 +18,12 @@
     from carawayquay_wire.http import HttpLimits
 
 __all__ = [
-    "EMPTY_LINE",
     "RejectedError",
     "check_head",
     "content_length",
     "first_bytes",
+    "new_parser",
+    "next_parser",
     "origin_form",
     "read_body",
     "read_head",
@@ -30,7 +32,7 @@
 _READ_BYTES = 65536
 
 #: An empty line, which some clients send before a request.
-EMPTY_LINE = b"\r\n"
+_EMPTY_LINE = b"\r\n"
 
 #: Bytes of empty lines before a request after which more of them are rejected.
 _MAX_EMPTY_BYTES = 16
@@ -47,6 +49,25 @@
     reason: str
 
 
+def new_parser() -> h11.Connection:
+    """Return a parser without a limit of its own, as that could not follow the configured one."""
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
+
+
+def next_parser(connection: h11.Connection) -> h11.Connection:
+    """Return the parser of a connection's next request, without empty lines before it."""
+    data, closed = connection.trailing_data
+    if not data.startswith(b"\r"):
+        connection.start_next_cycle()
+        return connection
+    following = new_parser()
+    if rest := data.lstrip(_EMPTY_LINE):
+        following.receive_data(rest)
+    if closed:
+        following.receive_data(b"")
+    return following
+
+
 async def first_bytes(sock: Any) -> bytes:
     """Receive the first bytes of a request, without a few empty lines before it.
 
@@ -54,7 +75,7 @@
     """
     skipped = 0
     while data := await sock.recv(_READ_BYTES):
-        rest = data.lstrip(EMPTY_LINE)
+        rest = data.lstrip(_EMPTY_LINE)
         skipped += len(data) - len(rest)
         if rest or skipped > _MAX_EMPTY_BYTES:
             return rest or data
