--- a/standins/tests/test_recorded_data.py
+++ b/standins/tests/test_recorded_data.py
@@ -185,6 +185,7 @@
     signed, waited_seconds = False, 0.0
     assert response == [*expected.pop("response"), plain(LimitAbsent()), signed]
     assert present.pop("request") == [*expected.pop("request"), None, "", waited_seconds]
+    assert present.pop("sent") == [*expected.pop("sent"), waited_seconds]
     assert present == expected
 
 
