--- a/review/common-3/site_on_loopback.py
+++ b/review/common-3/site_on_loopback.py
@@ -205,7 +205,9 @@
                 raise CaseError("a process did not become ready")
             await asyncio.sleep(0.1)
 
-    async def add_instance(self, name, service, zone, host, port=None, **settings):
+    async def add_instance(
+        self, name, service, zone, host, port=None, program="instance.py", **settings
+    ):
         """Start an instance and note its runs; return what was started."""
         port = port or free_port(host)
         settings = {
@@ -218,7 +220,7 @@
             "slots": 8,
             **settings,
         }
-        command = [sys.executable, str(COMMON / "instance.py"), json.dumps(settings)]
+        command = [sys.executable, str(COMMON / program), json.dumps(settings)]
         process = self.python(*command, stdout=subprocess.PIPE)
         instance = {"name": name, "process": process, "settings": settings}
         self.instances[name] = instance
