--- a/review/common-3/instance.py
+++ b/review/common-3/instance.py
@@ -9,6 +9,7 @@
 - `lines`: number of lines of each answer, which it writes one by one as it works, without a length;
   such an answer ends with its connection
 - `line_seconds`: time for each line
+- after SIGUSR1 it writes nothing more to the store, as it leaves, and serves on
 - `registered`: the address in its entry, if it is reached through a proxy
 """
 
@@ -16,6 +17,7 @@
 import json
 import os
 import random
+import signal
 import sys
 import time
 
@@ -41,6 +43,11 @@
         self.slots = asyncio.Semaphore(SETTINGS["slots"])
         self.sequence = 0
         self.running = 0
+        self.leaving = False
+
+    def leave(self):
+        """Write nothing more to the store."""
+        self.leaving = True
 
     def registration(self):
         """Return its entry in the store."""
@@ -61,9 +68,12 @@
     async def beat(self):
         """Register, and write the entry again at each heartbeat."""
         value = {"metadata": {"name": NAME}, "spec": self.registration()}
-        await call_store(STORE, "POST", "/objects/servers", value)
+        while await call_store(STORE, "POST", "/objects/servers", value, 1.0) not in (200, 409):
+            value = {"metadata": {"name": NAME}, "spec": self.registration()}
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
+            if self.leaving:
+                return
             value = {"metadata": {"name": NAME}, "spec": self.registration()}
             await call_store(STORE, "PUT", f"/objects/servers/{NAME}", value)
 
@@ -133,6 +143,7 @@
 async def main():
     """Serve until the process ends."""
     instance = Instance()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, instance.leave)
     server = await asyncio.start_server(instance.serve, SETTINGS["host"], SETTINGS["port"])
     beating = asyncio.create_task(instance.beat())
     async with server:
--- a/review/common-3/messages.py
+++ b/review/common-3/messages.py
@@ -57,10 +57,10 @@
             writer.close()
 
 
-async def call_store(address, method, path, value=None):
+async def call_store(address, method, path, value=None, seconds=3.0):
     """Call the platform's store and return the status, 0 without an answer."""
     host, port = address
     body = b"" if value is None else json.dumps(value).encode()
     headers = {"Host": "store", "Content-Type": "application/json"}
-    answer = await exchange(host, port, f"{method} {path} HTTP/1.1", headers, body)
+    answer = await exchange(host, port, f"{method} {path} HTTP/1.1", headers, body, seconds)
     return answer.status if answer is not None else 0
