--- a/review/common-3/power.py
+++ b/review/common-3/power.py
@@ -2,10 +2,22 @@
 
 import asyncio
 import socket
+import struct
 
 #: Connections that fill the queue of a listener that accepts none, so that others time out.
 _QUEUE_FILL = 3
 
+#: Value of ``SO_LINGER`` with which a close resets the connection.
+_RESET = struct.pack("ii", 1, 0)
+
+
+def reset(writer):
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    writer.transport.abort()
+
 
 class PoweredHost:
     """Passes connections on to an instance, until the power is lost."""
@@ -44,7 +56,7 @@
     def get_power(self):
         """End what was open, as a host that has started again resets what it does not know."""
         for writer in self._writers:
-            writer.transport.abort()
+            reset(writer)
         for sock in self._dead:
             sock.close()
         self._writers, self._tasks, self._dead = [], [], []
@@ -53,7 +65,7 @@
         try:
             onward_reader, onward = await asyncio.open_connection(*self._instance)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self._writers += [writer, onward]
         self._tasks += [
@@ -72,4 +84,4 @@
                 writer.close()
         except OSError:
             if self._on:
-                writer.transport.abort()
+                reset(writer)
