--- a/review/common-3/instance.py
+++ b/review/common-3/instance.py
@@ -2,6 +2,7 @@
 
 Takes one argument, a JSON object. Each run is noted on standard output, a JSON object a line.
 
+- `work_seconds`: time that it works on a request
 - `crash_for`: a tenant; the process ends as soon as it begins to run a request of this tenant
 - `crash_path`: the path of those requests
 - `grey_share`: share of the requests that it runs and then fails
@@ -128,7 +129,7 @@
             if path == SETTINGS.get("crash_path") and tenant == SETTINGS.get("crash_for"):
                 note(event="crash", id=identity)
                 os._exit(1)
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(SETTINGS.get("work_seconds", 0.02))
             self.running -= 1
         status = 200
         if RANDOM.random() < SETTINGS.get("grey_share", 0.0):
