--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A zone with instances loses power while they send answers that end with their connections."""
+"""Bookings that an instance ran and failed with 503, while its health check is good."""
 
 import asyncio
 import os
@@ -8,92 +8,62 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
-from power import PoweredHost  # noqa: E402
-from site_on_loopback import configuration, free_port, play, route  # noqa: E402
+from site_on_loopback import ZONES, configuration, play, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LINES = 40
-LINE_SECONDS = 0.05
-INSTANCES = 6
-PER_SECOND = 10
-CALM_SECONDS = 4.0
-DARK_SECONDS = 5.5
+PROMISES = (408, 421, 429, 503)
+SECONDS = 10
+PER_SECOND = 20
 
 
 async def case(site):
-    """Send lookups through a loss of power; return whether a part of an answer looked whole."""
-    lookups = route("logs", "/logs/", "archive", "idempotent", timeout="9000ms")
-    bookings = route("bookings", "/bookings/", "sledway", "non_idempotent")
-    await site.start(configuration([lookups, bookings], services=("archive", "sledway")))
-    hosts = [await start_host(site, index, "first") for index in range(INSTANCES)]
+    """Send bookings, and return whether a promise was given for one that ran."""
+    await site.start(configuration([route("bookings", "/bookings/", "sledway", "non_idempotent")]))
+    share = 0.45 if TROUBLE else 0.0
+    for index in range(4):
+        zone = list(ZONES)[index % len(ZONES)]
+        await site.add_instance(
+            f"i-{index}",
+            "sledway",
+            zone,
+            "127.0.63.1",
+            seed=index,
+            grey_share=share,
+            grey_status=503,
+        )
     await asyncio.sleep(5.0)
-    sending = site.spawn(send_steadily(site, 2 * CALM_SECONDS + DARK_SECONDS))
-    await asyncio.sleep(CALM_SECONDS)
-    if TROUBLE:
-        for host, instance in hosts:
-            host.lose_power()
-            instance["process"].kill()
-            site.spawn(site.forget(instance["name"]))
-        site.note(event="the zone has lost its power")
-    await asyncio.sleep(DARK_SECONDS)
-    if TROUBLE:
-        for index, (host, _) in enumerate(hosts):
-            host.get_power()
-            await start_host(site, index, "second", host.address)
-        site.note(event="the zone has its power back")
-    wrong, whole, others = await sending
+    sending = []
+    for number in range(SECONDS * PER_SECOND):
+        sending.append(site.spawn(book(site, number)))
+        await asyncio.sleep(1 / PER_SECOND)
+    await asyncio.gather(*sending)
     site.check_vms()
-    print(f"{whole} whole answers, {others} failures or no answer")
-    print(f"{len(wrong)} answers with 200, a stamp and a length, but a part of the body only")
-    for line in wrong[:5]:
-        print(f"  {line}")
-    return bool(wrong)
-
+    return judge(site)
 
-async def start_host(site, index, start, address=None):
-    """Start an instance behind a host that can lose its power."""
-    address = address or (f"127.0.63.{index + 1}", free_port(f"127.0.63.{index + 1}"))
-    behind = f"127.0.64.{index + 1}"
-    port = free_port(behind)
-    host = PoweredHost(address, (behind, port))
-    await host.start()
-    instance = await site.add_instance(
-        f"i-{start}-{index}",
-        "archive",
-        "puget-b",
-        behind,
-        port,
-        registered=f"{address[0]}:{address[1]}",
-        lines=LINES,
-        line_seconds=LINE_SECONDS,
-    )
-    return host, instance
 
+async def book(site, number):
+    """Book once; retry after a promise, as clients do, with a new id at another VM."""
+    for attempt in range(2):
+        vm = site.vms[(number + attempt) % len(site.vms)]
+        status = await site.send(
+            vm, "POST", f"/bookings/{number}", f"b{number}.{attempt}", body=b"one sack"
+        )
+        if status not in PROMISES:
+            return
+        await asyncio.sleep(0.1)
 
-async def send_steadily(site, seconds):
-    """Send lookups; return the answers that are not whole, and the numbers of the others."""
-    sending = []
-    for number in range(int(seconds * PER_SECOND)):
-        vm = site.vms[number % len(site.vms)]
-        sending.append(site.spawn(look_up(site, vm, f"q{number}")))
-        await asyncio.sleep(1 / PER_SECOND)
-    ends = await asyncio.gather(*sending)
-    wrong = [end for end in ends if end not in ("whole", "other")]
-    return wrong, ends.count("whole"), ends.count("other")
 
-
-async def look_up(site, vm, identity):
-    """Look up once, and compare the answer with what an instance sends."""
-    answer = await site.send(
-        vm, "GET", f"/logs/{identity}", identity, seconds=12.0, whole=True, Deadline_Ms="9000"
-    )
-    if answer is None or answer.status != 200:
-        return "other"
-    lines = "".join(f"line {number} of {LINES} of {identity}\n" for number in range(LINES))
-    if answer.body.decode() == lines:
-        return "whole"
-    stamp = answer.headers.get("server-stamp")
-    return f"{identity}: stamp {stamp}, {len(answer.body)} of {len(lines)} bytes"
+def judge(site):
+    """Return whether a client was promised that a request had not run, though it had."""
+    run = {it["id"] for it in site.lines if it.get("event") == "run"}
+    answered = [it for it in site.lines if it.get("event") == "answered"]
+    wrong = [it for it in answered if it["status"] in PROMISES and it["id"] in run]
+    served = sum(it["status"] == 200 for it in answered)
+    twice = {it.split(".")[0] for it in run if f"{it.split('.')[0]}.0" in run and it.endswith(".1")}
+    print(f"{len(answered)} answers, {served} with 200, {len(run)} requests run")
+    print(f"{len(wrong)} answered with a promise (408, 421, 429, 503) though they had run")
+    print(f"{len(twice)} bookings run again, as the client retried after that promise")
+    return bool(wrong)
 
 
 play(case, FOLDER)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,10 +1,8 @@
-"""An entry VM is stopped while instances work on bookings and read the rest of them later."""
+"""A request of one tenant crashes each instance; another tenant's equal request does not."""
 
 import asyncio
 import os
-import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,80 +11,101 @@
 from site_on_loopback import ZONES, configuration, play, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PAUSE_SECONDS = 2.6 if TROUBLE else 0.02
-BODY = b"x" * 24000
-GRACE = 6.0
-PER_SECOND = 9
-BEFORE_SECONDS = 4.0
-AFTER_SECONDS = 3.0
+OTHERS = os.environ.get("OTHERS", "1") != "0"
+CONTACT = 3.0
+DOWN_SECONDS = 2.0
+PATH = "/reports/7"
+TENANTS = {"north": "key-north", "south": "key-south"}
+
+#: Times at which the caller comes again.
+POISON_SECONDS = 3.0
+POISON_COUNT = 12
 
 
 async def case(site):
-    """Stop one entry VM under bookings; return whether it broke any of them off."""
-    await site.start(
-        configuration(
-            [route("bookings", "/bookings/", "sledway", "non_idempotent", timeout="9000ms")]
-        )
-    )
+    """Send the request again and again; return whether it reached too many instances."""
+    tenants = [
+        {"name": name, "api_keys": [key], "rate_per_s": 0, "burst": 0}
+        for name, key in TENANTS.items()
+    ]
+    routes = [route("reports", "/reports/", "granite", "idempotent")]
+    routes.append(route("bookings", "/bookings/", "sledway", "non_idempotent"))
+    await site.start(configuration(routes, tenants))
     for index in range(6):
-        await site.add_instance(
-            f"i-{index}",
-            "sledway",
-            list(ZONES)[index % len(ZONES)],
+        site.spawn(keep_instance(site, index, "granite"))
+        site.spawn(keep_instance(site, index, "sledway"))
+    await asyncio.sleep(5.0)
+    sending = [site.spawn(send_steadily(site))]
+    for number in range(POISON_COUNT):
+        vm = site.vms[number % len(site.vms)]
+        sending.append(site.spawn(ask(site, vm, "north", f"p{number}")))
+        await asyncio.sleep(POISON_SECONDS)
+    await asyncio.gather(*sending)
+    site.check_vms()
+    return judge(site)
+
+
+async def keep_instance(site, index, service):
+    """Start an instance, again after each crash, each time under a new name."""
+    zone = list(ZONES)[index % len(ZONES)]
+    start = 0
+    while True:
+        crash_for = "north" if TROUBLE and service == "granite" else "none"
+        instance = await site.add_instance(
+            f"i-{service}-{index}-{start}",
+            service,
+            zone,
             "127.0.63.1",
-            program="late_reader.py",
-            pause_seconds=PAUSE_SECONDS,
+            crash_for=crash_for,
+            crash_path=PATH,
         )
-    await asyncio.sleep(5.0)
+        while instance["process"].poll() is None:
+            await asyncio.sleep(0.05)
+        site.spawn(site.forget(instance["name"]))
+        await asyncio.sleep(DOWN_SECONDS)
+        start += 1
+
+
+async def send_steadily(site):
+    """Ask for the same report as the other tenant, ten times a second."""
+    if not OTHERS:
+        return
     sending = []
-    stopped = site.vms[0]
-    for number in range(int((BEFORE_SECONDS + AFTER_SECONDS) * PER_SECOND)):
-        if number == BEFORE_SECONDS * PER_SECOND:
-            site.ended_by_plan.add(stopped["name"])
-            site.note(event="SIGTERM", vm=stopped["name"])
-            stopped["process"].send_signal(signal.SIGTERM)
-        live = site.vms if number < BEFORE_SECONDS * PER_SECOND else site.vms[1:]
-        sending.append(site.spawn(book(site, live[number % len(live)], number)))
-        await asyncio.sleep(1 / PER_SECOND)
+    for number in range(int(POISON_COUNT * POISON_SECONDS * 10)):
+        vm = site.vms[number % len(site.vms)]
+        sending.append(site.spawn(ask(site, vm, "south", f"s{number}")))
+        await asyncio.sleep(0.1)
     await asyncio.gather(*sending)
-    deadline = time.time() + GRACE
-    while stopped["process"].poll() is None and time.time() < deadline:
-        await asyncio.sleep(0.05)
-    site.check_vms()
-    return judge(site, stopped["name"])
-
-
-async def book(site, vm, number):
-    """Book once."""
-    await site.send(
-        vm, "POST", f"/bookings/{number}", f"b{number}", body=BODY, seconds=9.0, Deadline_Ms="8000"
-    )
-
-
-def judge(site, stopped):
-    """Return whether the VM broke off a booking after its SIGTERM, at which an instance worked."""
-    term = next(it["t"] for it in site.lines if it.get("event") == "SIGTERM")
-    sent = {it["id"]: it for it in site.lines if it.get("event") == "sent"}
-    run = {it["id"] for it in site.lines if it.get("event") == "run"}
-    broken = {it["id"] for it in site.lines if "broken off" in it.get("event", "")}
-    answered = [it for it in site.lines if it.get("event") == "answered"]
-    print(f"{len(answered)} bookings, {sum(it['status'] == 200 for it in answered)} with 200")
-    lost = [
-        it
-        for it in answered
-        if sent[it["id"]]["vm"] == stopped
-        and term < it["t"] < term + GRACE * 5 / 6
-        and it["status"] in (0, 500, 502, 503, 504)
-        and not it["stamp"]
-        and it["id"] in run
-        and it["id"] in broken
-    ]
-    print(f"{len(lost)} of the stopped VM's were broken off after its SIGTERM, with the instance")
-    print("at work, and ended with an answer of the VM's own or none:")
-    for it in lost[:5]:
-        seconds = it["t"] - sent[it["id"]]["t"]
-        print(f"  {it['id']}: {it['status']} after {seconds:.2f} s of 8, {it['t'] - term:.2f} s")
-    return bool(lost)
+
+
+async def ask(site, vm, tenant, identity):
+    """Ask for the report as a tenant."""
+    authorization = f"Bearer {TENANTS[tenant]}"
+    await site.send(vm, "GET", PATH, identity, Authorization=authorization, Affinity_Key="7")
+
+
+def judge(site):
+    """Return whether it came to instances in more than three retries after the third crash."""
+    crashes = sorted(it["t"] for it in site.lines if it.get("event") == "crash")
+    sent = {it["id"]: it["t"] for it in site.lines if it.get("event") == "sent"}
+    answered = {it["id"]: it["status"] for it in site.lines if it.get("event") == "answered"}
+    print(f"{len(crashes)} instances crashed")
+    statuses = [answered.get(f"p{number}") for number in range(POISON_COUNT)]
+    print(f"answers to the request that crashes them: {statuses}")
+    others = [status for identity, status in answered.items() if identity.startswith("s")]
+    print(f"other tenant: {len(others)} answers, {sum(it == 200 for it in others)} with 200")
+    if len(crashes) < 3:
+        return False
+    since = crashes[2] + CONTACT
+    late = {
+        it["id"]
+        for it in site.lines
+        if it.get("event") == "run" and it["tenant"] == "north" and sent[it["id"]] > since
+    }
+    runs = sum(it.get("event") == "run" and it.get("id") in late for it in site.lines)
+    print(f"{len(late)} retries of it, sent later than contact after the third crash,")
+    print(f"reached instances, with {runs} runs")
+    return len(late) > 3
 
 
 play(case, FOLDER)
--- a/review/common-3/instance.py
+++ b/review/common-3/instance.py
@@ -7,11 +7,8 @@
 - `crash_path`: the path of those requests
 - `grey_share`: share of the requests that it runs and then fails
 - `grey_status`: the status of these failures
-- `lines`: number of lines of each answer, which it writes one by one as it works, without a length;
-  such an answer ends with its connection
-- `line_seconds`: time for each line
+- `spoil_share`: share of the answers in which a byte of the name of the stamp is wrong
 - after SIGUSR1 it writes nothing more to the store, as it leaves, and serves on
-- `registered`: the address in its entry, if it is reached through a proxy
 """
 
 import asyncio
@@ -56,7 +53,7 @@
         cold_ms = max(0, 3000 - (int(time.time() * 1000) - BORN))
         return {
             "service": SETTINGS["service"],
-            "address": SETTINGS.get("registered", f"{SETTINGS['host']}:{SETTINGS['port']}"),
+            "address": f"{SETTINGS['host']}:{SETTINGS['port']}",
             "zone": SETTINGS["zone"],
             "version": "v1",
             "max_concurrency": SETTINGS["slots"],
@@ -83,9 +80,6 @@
         try:
             while True:
                 request = await read_message(reader)
-                if SETTINGS.get("lines") and self.accepts(request):
-                    await self.answer_in_lines(request, writer)
-                    return
                 writer.write(await self.answer(request))
                 await writer.drain()
         except (OSError, EOFError):
@@ -93,26 +87,6 @@
         finally:
             writer.close()
 
-    def accepts(self, request):
-        """Return whether it runs a request."""
-        names = request.headers.get("expect-instance", NAME)
-        return names == NAME and "request-id" in request.headers
-
-    async def answer_in_lines(self, request, writer):
-        """Run a request and write its answer line by line, without a length."""
-        identity = request.headers["request-id"]
-        async with self.slots:
-            note(event="run", id=identity, path=request.first.split()[1])
-            head = (
-                f"HTTP/1.1 200 OK\r\nRequest-Id: {identity}\r\nServer-Stamp: {NAME}.{identity}\r\n"
-            )
-            writer.write(f"{head}Connection: close\r\n\r\n".encode())
-            for number in range(SETTINGS["lines"]):
-                writer.write(f"line {number} of {SETTINGS['lines']} of {identity}\n".encode())
-                await writer.drain()
-                await asyncio.sleep(SETTINGS["line_seconds"])
-        note(event="end", id=identity, status=200)
-
     async def answer(self, request):
         """Run a request and return the bytes of the answer."""
         identity = request.headers.get("request-id")
@@ -137,7 +111,9 @@
         note(event="end", id=identity, status=status)
         stamp = f"{NAME}.{identity}.{status}"
         load = f"{self.running},0,{SETTINGS['slots']}"
-        headers = {**echo, "Server-Stamp": stamp, "Server-Load": load}
+        spoilt = RANDOM.random() < SETTINGS.get("spoil_share", 0.0)
+        name = "Server-Stbmp" if spoilt else "Server-Stamp"
+        headers = {**echo, name: stamp, "Server-Load": load}
         return encode(f"HTTP/1.1 {status} X", headers, b"done by " + NAME.encode())
 
 
