--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,10 +8,13 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
-from site_on_loopback import ZONES, configuration, play, route  # noqa: E402
+from site_on_loopback import INSTANCE_HOST, ZONES, configuration, play, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PROMISES = (408, 421, 429, 503)
+INSTANCES = 4
+GREY = 4
+GREY_SHARE = 0.45
 SECONDS = 10
 PER_SECOND = 20
 
@@ -19,14 +22,14 @@
 async def case(site):
     """Send bookings, and return whether a promise was given for one that ran."""
     await site.start(configuration([route("bookings", "/bookings/", "sledway", "non_idempotent")]))
-    share = 0.45 if TROUBLE else 0.0
-    for index in range(4):
+    for index in range(INSTANCES):
         zone = list(ZONES)[index % len(ZONES)]
+        share = GREY_SHARE if TROUBLE and index < GREY else 0.0
         await site.add_instance(
             f"i-{index}",
             "sledway",
             zone,
-            "127.0.63.1",
+            INSTANCE_HOST,
             seed=index,
             grey_share=share,
             grey_status=503,
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -8,7 +8,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-3"))
 
-from site_on_loopback import ZONES, configuration, play, route  # noqa: E402
+from site_on_loopback import INSTANCE_HOST, ZONES, configuration, play, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 OTHERS = os.environ.get("OTHERS", "1") != "0"
@@ -55,7 +55,7 @@
             f"i-{service}-{index}-{start}",
             service,
             zone,
-            "127.0.63.1",
+            INSTANCE_HOST,
             crash_for=crash_for,
             crash_path=PATH,
         )
--- a/review/common-3/site_on_loopback.py
+++ b/review/common-3/site_on_loopback.py
@@ -46,15 +46,34 @@
 START_SECONDS = 30.0
 
 
+#: The second part of the loopback addresses, so that cases that run side by side use others.
+_NET = 64 + os.getpid() % 128
+
+_given_ports = set()
+
+
+def loopback(group, number):
+    """Return a loopback address of this case."""
+    return f"127.{_NET}.{group}.{number}"
+
+
+STORE_HOST, LATE_STORE_HOST = loopback(61, 1), loopback(61, 2)
+INSTANCE_HOST = loopback(63, 1)
+
+
 class CaseError(Exception):
     """The case could not run."""
 
 
 def free_port(host):
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, and that was not given before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            port = sock.getsockname()[1]
+        if (host, port) not in _given_ports:
+            _given_ports.add((host, port))
+            return port
 
 
 def free_range(hosts, count):
@@ -107,7 +126,7 @@
         self.vms = []
         self.instances = {}
         self.tasks = set()
-        self.store = ("127.0.61.1", free_port("127.0.61.1"))
+        self.store = (STORE_HOST, free_port(STORE_HOST))
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.ended_by_plan = set()
 
@@ -138,7 +157,7 @@
         self.python(sys.executable, str(COMMON / "store.py"), host, str(port))
         value = {"metadata": {"name": "main"}, "spec": configuration}
         await self.until(lambda: call_store(self.store, "POST", "/objects/config", value))
-        hosts = [f"127.0.62.{index + 1}" for index in range(vms)]
+        hosts = [loopback(62, index + 1) for index in range(vms)]
         first = free_range(hosts, 20)
         for index, address in enumerate(hosts):
             zone = list(ZONES)[index % len(ZONES)]
