--- a/review/14/case.py
+++ b/review/14/case.py
@@ -12,7 +12,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 OTHERS = os.environ.get("OTHERS", "1") != "0"
-CONTACT = 3.0
+CONTACT = 4.0
 DOWN_SECONDS = 2.0
 PATH = "/reports/7"
 TENANTS = {"north": "key-north", "south": "key-south"}
