--- a/review/common-3/instance.py
+++ b/review/common-3/instance.py
@@ -8,14 +8,12 @@
 - `grey_share`: share of the requests that it runs and then fails
 - `grey_status`: the status of these failures
 - `spoil_share`: share of the answers in which a byte of the name of the stamp is wrong
-- after SIGUSR1 it writes nothing more to the store, as it leaves, and serves on
 """
 
 import asyncio
 import json
 import os
 import random
-import signal
 import sys
 import time
 
@@ -41,11 +39,6 @@
         self.slots = asyncio.Semaphore(SETTINGS["slots"])
         self.sequence = 0
         self.running = 0
-        self.leaving = False
-
-    def leave(self):
-        """Write nothing more to the store."""
-        self.leaving = True
 
     def registration(self):
         """Return its entry in the store."""
@@ -70,8 +63,6 @@
             value = {"metadata": {"name": NAME}, "spec": self.registration()}
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            if self.leaving:
-                return
             value = {"metadata": {"name": NAME}, "spec": self.registration()}
             await call_store(STORE, "PUT", f"/objects/servers/{NAME}", value)
 
@@ -120,7 +111,6 @@
 async def main():
     """Serve until the process ends."""
     instance = Instance()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, instance.leave)
     server = await asyncio.start_server(instance.serve, SETTINGS["host"], SETTINGS["port"])
     beating = asyncio.create_task(instance.beat())
     async with server:
--- a/review/common-3/site_on_loopback.py
+++ b/review/common-3/site_on_loopback.py
@@ -57,8 +57,7 @@
     return f"127.{_NET}.{group}.{number}"
 
 
-STORE_HOST, LATE_STORE_HOST = loopback(61, 1), loopback(61, 2)
-INSTANCE_HOST = loopback(63, 1)
+STORE_HOST, INSTANCE_HOST = loopback(61, 1), loopback(63, 1)
 
 
 class CaseError(Exception):
