--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -13,8 +14,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PROMISES = (408, 421, 429, 503)
 INSTANCES = 4
-GREY = 4
 GREY_SHARE = 0.45
+GREY_SECONDS = 6.4
 SECONDS = 10
 PER_SECOND = 20
 
@@ -22,15 +23,17 @@
 async def case(site):
     """Send bookings, and return whether a promise was given for one that ran."""
     await site.start(configuration([route("bookings", "/bookings/", "sledway", "non_idempotent")]))
+    grey_from = time.time() + 6.0
     for index in range(INSTANCES):
         zone = list(ZONES)[index % len(ZONES)]
-        share = GREY_SHARE if TROUBLE and index < GREY else 0.0
+        share = GREY_SHARE if TROUBLE else 0.0
         await site.add_instance(
             f"i-{index}",
             "sledway",
             zone,
             INSTANCE_HOST,
-            seed=index,
+            trouble_from=grey_from,
+            trouble_until=grey_from + GREY_SECONDS,
             grey_share=share,
             grey_status=503,
         )
--- a/review/common-3/instance.py
+++ b/review/common-3/instance.py
@@ -8,12 +8,14 @@
 - `grey_share`: share of the requests that it runs and then fails
 - `grey_status`: the status of these failures
 - `spoil_share`: share of the answers in which a byte of the name of the stamp is wrong
+- `trouble_from`, `trouble_until`: the times between which it does either
+
+Shares are counted, not drawn, so that no play exceeds them.
 """
 
 import asyncio
 import json
 import os
-import random
 import sys
 import time
 
@@ -24,7 +26,6 @@
 BORN = int(time.time() * 1000)
 HEARTBEAT_SECONDS = 1.5
 STORE = tuple(SETTINGS["store"])
-RANDOM = random.Random(SETTINGS.get("seed", 1))
 
 
 def note(**fields):
@@ -32,6 +33,21 @@
     print(json.dumps({"t": time.time(), "instance": NAME, **fields}), flush=True)
 
 
+class Share:
+    """Picks a share of the answers in the time of the trouble, never more than that."""
+
+    def __init__(self, share):
+        self._share = share
+        self._seen = 0
+
+    def picks(self):
+        """Return whether the next answer is picked."""
+        if not SETTINGS.get("trouble_from", 0) <= time.time() < SETTINGS.get("trouble_until", 0):
+            return False
+        self._seen += 1
+        return int(self._seen * self._share) > int((self._seen - 1) * self._share)
+
+
 class Instance:
     """The instance's state."""
 
@@ -39,6 +55,8 @@
         self.slots = asyncio.Semaphore(SETTINGS["slots"])
         self.sequence = 0
         self.running = 0
+        self.grey = Share(SETTINGS.get("grey_share", 0.0))
+        self.spoilt = Share(SETTINGS.get("spoil_share", 0.0))
 
     def registration(self):
         """Return its entry in the store."""
@@ -97,12 +115,12 @@
             await asyncio.sleep(SETTINGS.get("work_seconds", 0.02))
             self.running -= 1
         status = 200
-        if RANDOM.random() < SETTINGS.get("grey_share", 0.0):
+        if self.grey.picks():
             status = SETTINGS["grey_status"]
         note(event="end", id=identity, status=status)
         stamp = f"{NAME}.{identity}.{status}"
         load = f"{self.running},0,{SETTINGS['slots']}"
-        spoilt = RANDOM.random() < SETTINGS.get("spoil_share", 0.0)
+        spoilt = self.spoilt.picks()
         name = "Server-Stbmp" if spoilt else "Server-Stamp"
         headers = {**echo, name: stamp, "Server-Load": load}
         return encode(f"HTTP/1.1 {status} X", headers, b"done by " + NAME.encode())
