Split the admission of requests from the forwarder

forwarder.py had grown to 419 lines, in which the checks before a request is forwarded stood between those after an attempt. They are a module of their own now, which decides the same in the same order; the answer to a request that crashes targets is built in one place.

--- a/packages/gateway/src/carawayquay_gateway/answers.py
+++ b/packages/gateway/src/carawayquay_gateway/answers.py
@@ -94,6 +94,12 @@
             **self._limit_fields(exchange),
         )
 
+    def crash_error(self, exchange: Exchange) -> HttpResponse:
+        """Return an error answer to a request that no target gets, as equal ones crash targets."""
+        return self.exchange_error(
+            exchange, ErrorKind.CRASHES_TARGETS, "equal requests crashed targets"
+        )
+
     def request_error(
         self,
         call: CallerRequest,
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
-import attrs
 import curio
 
-from carawayquay.crash_counts import request_fingerprint
 from carawayquay.errors import ANSWERS, ErrorKind
 from carawayquay.placement import NoCapacity
 from carawayquay.retry_times import limited_retry_after, retry_after
-from carawayquay.routes import Route, UnreadRoutes
-from carawayquay.shedding import waited_too_long
+from carawayquay.routes import Route
+from carawayquay_gateway.admission import UNCONFIGURED_RETRY, Admission, Admitted
 from carawayquay_gateway.answers import CallerAnswers
-from carawayquay_gateway.authentication import (
-    Authenticated,
-    AuthenticationFailed,
-    authenticate,
-)
+from carawayquay_gateway.authentication import AuthenticationFailed, authenticate
 from carawayquay_gateway.exchanges import (
     Answered,
     Attempt,
@@ -39,7 +32,6 @@
     from carawayquay.crash_counts import CrashCounts
     from carawayquay.forwarding import CallerRequest
     from carawayquay.organisations import Organisation
-    from carawayquay.routes import Configuration
     from carawayquay_gateway.peer_calls import PeerCaller
     from carawayquay_gateway.state import GatewayState
     from carawayquay_gateway.target_attempts import TargetAttempts
@@ -50,19 +42,6 @@
 
 _log = EventLog("forwarder")
 
-#: Part of the caller's deadline that is reserved for returning the final answer.
-_ANSWER_MARGIN = timedelta(milliseconds=15)
-
-#: Retry-after seconds of a VM without a configuration.
-_UNCONFIGURED_RETRY = 1.0
-
-#: Retry-after seconds for a route or an organisation that could not be read, which an operator
-#: has to correct.
-_UNREAD_PART_RETRY = 2.0
-
-#: Retry-after seconds of a VM that stops, after which callers use another one.
-_STOPPING_RETRY = 0.05
-
 #: Assumed wait in seconds until a target has room, if no further retry is allowed.
 _RETRY_WAIT = 0.1
 
@@ -75,17 +54,6 @@
 _SIZE_STATUSES = frozenset({413, 431})
 
 
-@attrs.frozen
-class _Admitted:
-    """A request that may be forwarded.
-
-    :param organisation: the organisation whose quota has to admit it, or None
-    """
-
-    exchange: Exchange
-    organisation: Organisation | None
-
-
 class Forwarder:
     """Forwards callers' requests along their routes, and retries within the retry budget."""
 
@@ -104,6 +72,9 @@
         self._random = random
         self._answers = CallerAnswers(state)
         self._service_choices = ServiceChoices(random)
+        self._admission = Admission(
+            state, self._answers, self._service_choices, attempts, crashes, random
+        )
         self._active = 0
 
     @property
@@ -136,7 +107,7 @@
         """
         if self._state.configuration is None and status in _SIZE_STATUSES:
             kind = ErrorKind.UNCONFIGURED
-            return self._answers.reject(ANSWERS[kind].status, reason, kind, _UNCONFIGURED_RETRY)
+            return self._answers.reject(ANSWERS[kind].status, reason, kind, UNCONFIGURED_RETRY)
         return self._answers.reject(status, reason)
 
     def record_connection_end(self, cause: ConnectionEnd, response: HttpResponse | None) -> None:
@@ -147,86 +118,14 @@
         self._answers.record_connection_end(cause, response)
 
     async def _handle(self, call: CallerRequest) -> HttpResponse:
-        admitted = self._admit(call)
+        admitted = self._admission.admit(call)
         match admitted:
-            case _Admitted(exchange, None):
-                return await self._forward(exchange)
-            case _Admitted(exchange, organisation):
+            case Admitted(exchange, organisation):
+                if organisation is None:
+                    return await self._forward(exchange)
                 return await self._forward_within_quota(exchange, organisation)
         return admitted
 
-    def _admit(self, call: CallerRequest) -> _Admitted | HttpResponse:
-        """Return a request that may be forwarded, or the answer to another one.
-
-        What is admitted holds its route but not the configuration, of which many versions may come
-        while targets run requests.
-        """
-        state = self._state
-        now = state.clock.now()
-        configuration = state.configuration
-        if configuration is None:
-            state.refused_unconfigured = True
-            reason = "no configuration received yet"
-            return self._answers.request_error(
-                call, ErrorKind.UNCONFIGURED, reason, _UNCONFIGURED_RETRY
-            )
-        route = configuration.find(call.host, call.path)
-        if not isinstance(route, Route):
-            return self._route_error(call, route, configuration)
-        caller = authenticate(call, route, configuration)
-        if isinstance(caller, AuthenticationFailed):
-            return self._authentication_error(call, route, configuration, caller)
-        exchange = self._new_exchange(caller, configuration, now)
-        if waited_too_long(call.waited, route.target_latency):
-            retry_delay = retry_after(
-                call.waited.total_seconds(), exchange.remaining(now), self._random
-            )
-            return self._answers.exchange_error(
-                exchange, ErrorKind.OVERLOADED, "this VM has too many requests", retry_delay
-            )
-        stop = state.planned_stop
-        if stop is not None and not stop.admits(exchange.deadline, now):
-            return self._answers.exchange_error(
-                exchange, ErrorKind.STOPPING, "this VM stops before the deadline", _STOPPING_RETRY
-            )
-        if self._crashes.refused(exchange.fingerprint, now):
-            return self._crash_error(exchange)
-        return _Admitted(exchange, caller.organisation)
-
-    def _new_exchange(
-        self, caller: Authenticated, configuration: Configuration, now: timedelta
-    ) -> Exchange:
-        """Choose the service of a request, count it, and return its state."""
-        call, route = caller.call, caller.route
-        service = self._service_choices.next(route, configuration)
-        self._state.service(service).count_request(now, route.priority)
-        self._attempts.count_request()
-        allowed = route.timeout if call.time_left is None else min(route.timeout, call.time_left)
-        arrived = now - call.waited
-        deadline = arrived + allowed - _ANSWER_MARGIN
-        fingerprint = request_fingerprint(call)
-        return Exchange(call, route, service, configuration.version, arrived, deadline, fingerprint)
-
-    def _route_error(
-        self, call: CallerRequest, route: UnreadRoutes | None, configuration: Configuration
-    ) -> HttpResponse:
-        """Return the answer to a request that no route, or one that can't be read, matches."""
-        version = configuration.version
-        if route is None:
-            reason = f"no route matches in configuration version {version}"
-            newest = self._state.peers.newest_configuration(self._state.clock.now())
-            return self._answers.request_error(
-                call,
-                ErrorKind.UNKNOWN_ROUTE,
-                reason,
-                version=version,
-                newest_version=max(version, newest.version if newest is not None else 0),
-            )
-        reason = f"the route in configuration version {version} is invalid"
-        return self._answers.request_error(
-            call, ErrorKind.UNREAD_ROUTE, reason, _UNREAD_PART_RETRY, version=version
-        )
-
     async def _forward_within_quota(
         self, exchange: Exchange, organisation: Organisation
     ) -> HttpResponse:
@@ -244,24 +143,6 @@
             quotas.refund(organisation, self._state.clock.now())
         return answer
 
-    def _authentication_error(
-        self,
-        call: CallerRequest,
-        route: Route,
-        configuration: Configuration,
-        failed: AuthenticationFailed,
-    ) -> HttpResponse:
-        """Return the answer to a request that no organisation's API key admits."""
-        retryable = failed.kind is ErrorKind.UNREAD_ORGANISATION
-        return self._answers.request_error(
-            call,
-            failed.kind,
-            failed.reason,
-            _UNREAD_PART_RETRY if retryable else None,
-            route.name,
-            version=configuration.version,
-        )
-
     async def _forward(self, exchange: Exchange) -> HttpResponse:
         """Send a request to one target after the other until there is a final answer."""
         while True:
@@ -380,9 +261,7 @@
         """Return the final answer to a request that crashes targets."""
         if exchange.may_have_run:
             return self._final_error(exchange, None)
-        return self._answers.exchange_error(
-            exchange, ErrorKind.CRASHES_TARGETS, "equal requests crashed targets"
-        )
+        return self._answers.crash_error(exchange)
 
     def _deadline_error(self, exchange: Exchange) -> HttpResponse:
         """Return the final answer after the deadline."""
