Answer 502 in place of a target's promise about a booking that it ran

What callers saw: one of eight targets failed a part of its bookings with 503 after it had run them.

Cause: the forwarder passed on any answer of a target that may have run the request, whatever its status. But 408, 421, 429 and 503 are a promise of the gateway, which the target had not made: it did not say "not executed".

Change: such an answer is no answer for a request that may not be repeated; it gets 502 target-failed, which bears no stamp. Idempotent requests go to another target, as after 500, now also after 408 and 429. The kind of the route is looked at when the answer goes out, also for an answer that was kept while another target was tried.

--- a/packages/core/src/carawayquay/forwarding.py
+++ b/packages/core/src/carawayquay/forwarding.py
@@ -7,6 +7,7 @@
 import attrs
 
 __all__ = [
+    "NOT_RUN_STATUSES",
     "AnswerLimit",
     "CallerRequest",
     "LimitAbsent",
@@ -18,6 +19,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+#: Statuses by which callers take it that a request was not run and never will be.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 _FIRST_REDIRECTION = 300
 _FIRST_SERVER_ERROR = 500
 
@@ -112,6 +116,16 @@
     limit: AnswerLimit = LimitAbsent()
     signed: bool = True
 
+    @property
+    def ran(self) -> bool:
+        """Whether the target may have run the request."""
+        return not (self.not_run or self.address_reused)
+
+    @property
+    def failed(self) -> bool:
+        """Whether the target failed a request that it ran, also by a status of one not run."""
+        return self.status >= _FIRST_SERVER_ERROR or self.status in NOT_RUN_STATUSES
+
     @property
     def unsigned_denial(self) -> bool:
         """Whether it redirects or denies the request and nothing shows that the target decided it.
@@ -119,3 +133,14 @@
         Callers do not send a request again after such a status.
         """
         return not self.signed and _FIRST_REDIRECTION <= self.status < _FIRST_SERVER_ERROR
+
+    def may_be_returned(self, *, idempotent: bool) -> bool:
+        """Return whether the caller of a request that the target ran may get the answer.
+
+        A caller sends a request again after a status that promises that it was not run.
+
+        :param idempotent: whether the request may run more than once
+        """
+        if self.unsigned_denial:
+            return False
+        return idempotent or self.status not in NOT_RUN_STATUSES
--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -33,15 +33,10 @@
     answer: TargetAnswer
     seconds: float
 
-    @property
-    def ran(self) -> bool:
-        """Whether the target may have run the request."""
-        return not (self.answer.not_run or self.answer.address_reused)
-
     @property
     def completed(self) -> bool:
         """Whether the answer tells that the target ran the request to its end."""
-        return self.ran and not self.answer.unsigned_denial
+        return self.answer.ran and not self.answer.unsigned_denial
 
 
 @attrs.frozen
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -48,8 +48,6 @@
 #: Number of targets to which one request could not be sent, after which another VM is asked.
 _MAX_UNREACHABLE = 2
 
-_SERVER_ERROR = 500
-
 #: Statuses of requests whose body or headers exceed the limit.
 _SIZE_STATUSES = frozenset({413, 431})
 
@@ -242,20 +240,33 @@
     ) -> HttpResponse | None:
         """Return the caller's answer after a target's, or None to try another target."""
         answer = answered.answer
-        if not answered.ran:
+        if not answer.ran:
             self._answers.log_failed_attempt(exchange, attempt, f"not-run-{answer.status}")
             return None
         exchange.may_have_run = True
         if answer.unsigned_denial:
             self._answers.log_failed_attempt(exchange, attempt, f"unsigned-{answer.status}")
             return None
+        if not answer.failed:
+            return self._answers.from_target(exchange, attempt, answer)
+        return self._handle_failure(exchange, FailureAnswer(attempt, answer))
+
+    def _handle_failure(self, exchange: Exchange, failure: FailureAnswer) -> HttpResponse | None:
+        """Return the caller's answer after a target failed, or None to try another target.
+
+        The answer is that of the target, unless the caller may not get it.
+        """
+        attempt, answer = failure.attempt, failure.answer
+        if not answer.may_be_returned(idempotent=False):
+            # The route's kind may have changed while the target ran the request.
+            self._apply_current_version(exchange)
+        exchange.target_failure = failure
         remaining = exchange.remaining(self._state.clock.now())
-        failed = answer.status >= _SERVER_ERROR
-        if failed and exchange.route.idempotent and remaining > attempt.work:
-            exchange.target_failure = FailureAnswer(attempt, answer)
-            self._answers.log_failed_attempt(exchange, attempt, f"status-{answer.status}")
-            return None
-        return self._answers.from_target(exchange, attempt, answer)
+        retried = exchange.route.idempotent and remaining > attempt.work
+        if not retried and answer.may_be_returned(idempotent=exchange.route.idempotent):
+            return self._answers.from_target(exchange, attempt, answer)
+        self._answers.log_failed_attempt(exchange, attempt, f"status-{answer.status}")
+        return None if retried else self._final_error(exchange, None)
 
     def _crash_error(self, exchange: Exchange) -> HttpResponse:
         """Return the final answer to a request that crashes targets."""
@@ -274,8 +285,9 @@
         :param wait: seconds until a target is expected to have room, or None if none is usable
         """
         now = self._state.clock.now()
-        if exchange.target_failure is not None:
-            failure = exchange.target_failure
+        failure = exchange.target_failure
+        idempotent = exchange.route.idempotent
+        if failure is not None and failure.answer.may_be_returned(idempotent=idempotent):
             return self._answers.from_target(exchange, failure.attempt, failure.answer)
         if exchange.may_have_run:
             if exchange.remaining(now) <= 0:
--- a/packages/gateway/src/carawayquay_gateway/target_attempts.py
+++ b/packages/gateway/src/carawayquay_gateway/target_attempts.py
@@ -21,8 +21,6 @@
 
 __all__ = ["TargetAttempts"]
 
-_SERVER_ERROR = 500
-
 
 class TargetAttempts:
     """Sends requests to targets, one at a time, and records what each answer tells."""
@@ -105,7 +103,7 @@
             stats.shed(self._state.clock.now())
             return
         self._crashes.record_completion(exchange.fingerprint, self._state.clock.now())
-        if answered.answer.status < _SERVER_ERROR:
-            self._observations.record(exchange, placed, answered)
-        else:
+        if answered.answer.failed:
             stats.shed(self._state.clock.now())
+        else:
+            self._observations.record(exchange, placed, answered)
