Let no target's answer tell callers of the daemon an outcome

What callers would have seen: a target that ran a booking and answered with Carawayquay-Outcome: not-run was passed on with that header, by which carawayquayd promises that nothing ran.

Cause: the headers that are not passed on were those of connections and those that entry VMs read, not those by which they speak.

Change: Carawayquay-Outcome and Carawayquay-Error are taken off each answer of a target, as docs/CALLERS.md says.

--- a/packages/daemon/src/carawayquayd/callers.py
+++ b/packages/daemon/src/carawayquayd/callers.py
@@ -53,6 +53,10 @@
         b"upgrade",
     }
 )
+
+#: Headers by which entry VMs tell the kind and the outcome of a refusal.
+_REFUSAL_HEADERS = frozenset({b"carawayquay-error", b"carawayquay-outcome"})
+
 _STATUS_KINDS = {
     400: ErrorKind.MALFORMED,
     408: ErrorKind.SLOW_REQUEST,
@@ -168,8 +172,9 @@
 
 
 def _build_response(forwarded: Forwarded) -> HttpResponse:
+    """Return a target's answer, without what only entry VMs may tell callers."""
     received = tuple((header.name.lower(), header.value) for header in forwarded.headers)
-    dropped = _NOT_FORWARDED_HEADERS | _connection_options(received)
+    dropped = _NOT_FORWARDED_HEADERS | _REFUSAL_HEADERS | _connection_options(received)
     headers = tuple((name, value) for name, value in received if name not in dropped)
     return HttpResponse(forwarded.status, headers, forwarded.body)
 
--- a/packages/daemon/tests/test_callers.py
+++ b/packages/daemon/tests/test_callers.py
@@ -66,6 +66,16 @@
     assert answer.headers == ((b"etag", b"7"),)
 
 
+# Guards against a booking that a target ran and that its answer declares as not run.
+@pytest.mark.parametrize("status", [200, 500, 503])
+@pytest.mark.parametrize("name", [b"Carawayquay-Outcome", b"carawayquay-outcome"])
+def test_target_does_not_tell_callers_an_outcome(status, name):
+    headers = [Header(name, b"not-run"), Header(b"Carawayquay-Error", b"overloaded")]
+    steering = FakeSteering(Forwarded(status, [*headers, Header(b"ETag", b"7")], b"ok"))
+    answer, _ = send_request(get("/services/sledway/stones"), steering)
+    assert (answer.status, answer.headers) == (status, ((b"etag", b"7"),))
+
+
 @pytest.mark.parametrize(
     ("request_", "kind"),
     [
