Count crashes of targets for the organisation whose requests caused them

The other way round, an organisation was refused for the crashes of another one's equal request.

Cause: the fingerprint of a request was a hash of host, method, path, object key and body, without who sends it. So any organisation's completion cleared the crashes, and any organisation's crashes counted.

Change: the organisation is the key of the hash; without one the hash is that of the build before, so that both count together. A VM in between takes the organisation that the sender checked. A change of the configuration in between gives the request the fingerprint of its organisation then.

The tests of the fingerprint moved with it to a module of its own, unchanged; what delivers crashes between VMs in tests moved to the fleet's builder.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -13,9 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from carawayquay.forwarding import CallerRequest
-
-__all__ = ["CrashCounts", "TargetCrash", "request_fingerprint"]
+__all__ = ["CrashCounts", "TargetCrash"]
 
 #: Crashes in a row after which requests with the same fingerprint are refused.
 _MAX_CRASHES_IN_A_ROW = 3
@@ -39,20 +36,9 @@
 
 _MAX_ENTRIES = 1024
 _MAX_REPORTED = 16
-_FINGERPRINT_BYTES = 8
 _MILLISECOND = timedelta(milliseconds=1)
 
 
-def request_fingerprint(call: CallerRequest) -> int:
-    """Return a 64-bit hash of host, method, path, object key and body."""
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    for part in (call.host, call.method, call.path, call.object_key):
-        digest.update(part.encode("utf-8", "surrogateescape"))
-        digest.update(b"\0")
-    digest.update(call.body)
-    return int.from_bytes(digest.digest(), "big")
-
-
 @attrs.frozen
 class TargetCrash:
     """A crash of a target while it held a request.
--- a/packages/core/tests/test_crash_counts.py
+++ b/packages/core/tests/test_crash_counts.py
@@ -9,39 +9,18 @@
 import pytest
 from crash_builders import crash, record_crashes
 
-from carawayquay.crash_counts import CrashCounts, request_fingerprint
-from carawayquay.forwarding import CallerRequest
+from carawayquay.crash_counts import CrashCounts
 from carawayquay.load_reports import CrashReport, ReportedCrash, SuspectReport
 
 NOW = timedelta(seconds=5)
 LATER = NOW + timedelta(seconds=1)
 
 
-def _call(**changes):
-    values = {
-        "request_id": "r1",
-        "host": "h",
-        "method": "GET",
-        "path": "/a/",
-        "object_key": "k",
-        "time_left": None,
-        "headers": (),
-        "body": b"",
-    }
-    return CallerRequest(**(values | changes))
-
-
 def _tell(there, here, now=NOW):
     """Let one VM's counts merge what another one reports."""
     there.merge(here.reports(now), here.suspect_reports(now), now)
 
 
-def test_equal_requests_share_a_fingerprint_whatever_their_ids():
-    assert request_fingerprint(_call()) == request_fingerprint(_call(request_id="r2"))
-    assert request_fingerprint(_call()) != request_fingerprint(_call(body=b"x"))
-    assert request_fingerprint(_call(path="/a/b")) != request_fingerprint(_call(host="hb"))
-
-
 def test_request_is_refused_after_its_third_crash_wherever_the_crashes_were_seen():
     here, there = CrashCounts(), CrashCounts()
     here.record_crash(1, crash("t0", 0, 1), NOW)
--- a/packages/gateway/src/carawayquay_gateway/admission.py
+++ b/packages/gateway/src/carawayquay_gateway/admission.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from carawayquay.crash_counts import request_fingerprint
 from carawayquay.errors import ErrorKind
+from carawayquay.request_fingerprints import request_fingerprint
 from carawayquay.retry_times import retry_after
 from carawayquay.routes import Route, UnreadRoutes
 from carawayquay.shedding import waited_too_long
--- a/packages/gateway/src/carawayquay_gateway/exchanges.py
+++ b/packages/gateway/src/carawayquay_gateway/exchanges.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from carawayquay.request_fingerprints import request_fingerprint
+
 if TYPE_CHECKING:
     from datetime import timedelta
 
@@ -148,6 +150,7 @@
         """
         kind = route.kind if self.route.idempotent else self.route.kind
         self.call = call
+        self.fingerprint = request_fingerprint(call)
         self.route = attrs.evolve(route, kind=kind)
         self.version = version
 
--- a/packages/gateway/src/carawayquay_gateway/peer_requests.py
+++ b/packages/gateway/src/carawayquay_gateway/peer_requests.py
@@ -7,9 +7,9 @@
 
 import curio
 
-from carawayquay.crash_counts import request_fingerprint
 from carawayquay.errors import FrameError
 from carawayquay.placement import NoCapacity
+from carawayquay.request_fingerprints import request_fingerprint
 from carawayquay.routes import Route
 from carawayquay.weighted_choice import WeightedChoice
 from carawayquay_gateway.authentication import AuthenticationFailed, authenticate
@@ -136,7 +136,7 @@
             return RefusalReason.NO_CAPACITY
         if state.planned_stop is not None and not state.planned_stop.admits(deadline, now):
             return RefusalReason.STOPPING
-        fingerprint = request_fingerprint(request.call)
+        fingerprint = request_fingerprint(caller.call)
         if self._crashes.refused(fingerprint, now):
             return RefusalReason.CRASHES_TARGETS
         return Exchange(
--- a/packages/gateway/tests/cut_off_fleet.py
+++ b/packages/gateway/tests/cut_off_fleet.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from datetime import timedelta
 
+import attrs
 import curio
 from curio.network import run_server, tcp_server_socket
 from gateway_builders import (
@@ -42,6 +43,7 @@
 from carawayquay_wire.http_server import HttpServer
 from carawayquay_wire.listener import Listener
 from carawayquay_wire.metrics import Metrics
+from carawayquay_wire.reports import decode_report, encode_report
 
 REGIONS = {"puget-a": "puget", "puget-b": "puget", "inland-a": "inland"}
 
@@ -378,6 +380,17 @@
                 if other is not vm:
                     other.state.peers.receive(report, other.state.clock.now())
 
+    def tell_crashes(self):
+        """Deliver the crashes that each VM reports to all others, as datagrams carry them."""
+        for vm in self.vms:
+            now = vm.state.clock.now()
+            crashes, suspects = vm.crashes.reports(now), vm.crashes.suspect_reports(now)
+            report = attrs.evolve(vm.report(), crashes=crashes, suspects=suspects)
+            for other in self.vms:
+                if other is not vm:
+                    read = decode_report(encode_report(report))
+                    other.crashes.merge(read.crashes, read.suspects, other.state.clock.now())
+
     async def _report_forever(self):
         while True:
             await curio.sleep(_REPORT_SECONDS)
--- a/packages/gateway/tests/test_crash_attribution.py
+++ b/packages/gateway/tests/test_crash_attribution.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 from functools import partial
 
-import attrs
 import curio
 import pytest
 from cut_off_fleet import CutOffFleet, HandlingTarget
@@ -13,7 +12,6 @@
 from gateway_site import free_ports
 
 from carawayquay_wire.http import HttpResponse
-from carawayquay_wire.reports import decode_report, encode_report
 
 _PAGE, _CAUSE = "/reports/page", "/reports/cause"
 
@@ -55,18 +53,6 @@
     curio.run(go)
 
 
-def _tell_crashes(fleet):
-    """Deliver the crashes that each VM reports to all others, as datagrams carry them."""
-    for vm in fleet.vms:
-        now = vm.state.clock.now()
-        crashes, suspects = vm.crashes.reports(now), vm.crashes.suspect_reports(now)
-        report = attrs.evolve(vm.report(), crashes=crashes, suspects=suspects)
-        for other in fleet.vms:
-            if other is not vm:
-                read = decode_report(encode_report(report))
-                other.crashes.merge(read.crashes, read.suspects, other.state.clock.now())
-
-
 async def _ask(vm, path=_PAGE, key="17", name="a1"):
     asked = request(path=path, request_id=name, affinity_key=key, left_ms=3000)
     return (await vm.forwarder.handle(asked)).status
@@ -83,7 +69,7 @@
 
 async def _judged(fleet):
     await curio.sleep(_JUDGE_SECONDS)
-    _tell_crashes(fleet)
+    fleet.tell_crashes()
 
 
 # Guards against a page that many ask for alike and that one crash of a target ended at all VMs.
--- a/packages/gateway/tests/test_cut_off_conclusions.py
+++ b/packages/gateway/tests/test_cut_off_conclusions.py
@@ -11,7 +11,7 @@
 from gateway_builders import configuration, new_forwarder, request, route, run, target
 from gateway_site import free_ports
 
-from carawayquay.crash_counts import request_fingerprint
+from carawayquay.request_fingerprints import request_fingerprint
 from carawayquay_platform import headers
 
 #: Time in which a broken call is judged, and that for which a request is in flight.
--- a/packages/gateway/tests/test_peer_promises.py
+++ b/packages/gateway/tests/test_peer_promises.py
@@ -16,8 +16,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from carawayquay.crash_counts import request_fingerprint
 from carawayquay.errors import FrameError
+from carawayquay.request_fingerprints import request_fingerprint
 from carawayquay_gateway.peer_messages import decode_answer, decode_request
 from carawayquay_platform import headers
 from carawayquay_wire.http import HttpRequest, HttpResponse
