Let organisations share what VMs remember of crashes and tell each other

What callers would have seen: while another organisation has many requests under suspicion, a request that crashes targets is refused late or never, as other VMs don't hear of it, or no VM counts it.

Cause: a full table of suspects took no further request, whoever had filled it, and reports named the 16 latest, whoever sent them.

Evidence, on: after 500 later suspects an earlier one was not told, neither was its completion; three crashes in a row of a new request counted 0 in a table full of others.

Change: each suspect has its organisation. A full table gives up a request of the organisation that has most of it, for one that has at least two fewer; reports name the organisations by turns. Reports and summaries carry the organisations in a new field, which VMs of the build before skip.

test_recorded_data and test_reports follow the schema as they did for the fields before: the former recorded reports are those of an earlier build now, and are read and written as they were.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
+from itertools import zip_longest
 from typing import TYPE_CHECKING
 
 import attrs
@@ -34,6 +36,9 @@
 #: Crashes that are kept of requests with one fingerprint, also those that count as one.
 _MAX_CRASHES_KEPT = 16
 
+#: Stands for the organisation of requests that have none, or none that is known.
+_NO_ORGANISATION = 0
+
 _MAX_ENTRIES = 1024
 _MAX_REPORTED = 16
 _MILLISECOND = timedelta(milliseconds=1)
@@ -62,9 +67,11 @@
     :param completed_at: when such a request completed last, if that was noticed
     :param cleared: hashes of the targets of earlier crashes
     :param known_count: the highest count that any VM may have from these crashes
+    :param organisation: short hash of the name of the organisation that sends them
     """
 
     expires_at: timedelta
+    organisation: int = _NO_ORGANISATION
     crashes: tuple[TargetCrash, ...] = ()
     row: tuple[TargetCrash, ...] = ()
     completed_at: timedelta | None = None
@@ -121,6 +128,10 @@
     ran there and however many VMs saw it. Crashes of targets that end together count as one, since
     none of these requests was sent after another had failed: only one that was sent later counts
     anew. And a request that completes, at any VM, clears the crashes before it.
+
+    Organisations share the table and the reports, so that none takes the place of another one's
+    requests: a full table gives up requests of the organisation that has most of it, and reports
+    name the requests of all organisations by turns.
     """
 
     def __init__(self) -> None:
@@ -142,9 +153,18 @@
         entry = self._entries.get(fingerprint)
         return len(entry.row) if entry is not None and now < entry.expires_at else 0
 
-    def record_crash(self, fingerprint: int, crash: TargetCrash, now: timedelta) -> int:
-        """Record a crash, and return the count; return 0 if the table is full."""
-        entry = self._entry(fingerprint, now)
+    def record_crash(
+        self,
+        fingerprint: int,
+        crash: TargetCrash,
+        now: timedelta,
+        organisation: int = _NO_ORGANISATION,
+    ) -> int:
+        """Record a crash, and return the count; return 0 if the table has no place for it.
+
+        :param organisation: short hash of the name of the organisation that sent the request
+        """
+        entry = self._entry(fingerprint, now, organisation)
         if entry is None:
             return 0
         entry.add_observed(crash)
@@ -157,24 +177,31 @@
             entry.add_completion(now)
 
     def merge(
-        self, crashes: Sequence[CrashReport], suspects: Sequence[SuspectReport], now: timedelta
+        self,
+        crashes: Sequence[CrashReport],
+        suspects: Sequence[SuspectReport],
+        now: timedelta,
+        organisations: Sequence[int] = (),
     ) -> None:
         """Merge what another VM reports.
 
         :param crashes: its counts, which are used for what ``suspects`` lacks
         :param suspects: the crashes and completions, empty if its version does not report them
+        :param organisations: short hash of the organisation of each of ``suspects``, empty if its
+            version does not report them
         """
         if not crashes and not suspects:
             return
         timed = set()
-        for report in suspects:
+        named = organisations[: len(suspects)]
+        for report, organisation in zip_longest(suspects, named, fillvalue=_NO_ORGANISATION):
             timed.add(report.fingerprint)
-            self._merge_suspect(report, now)
+            self._merge_suspect(report, organisation, now)
         for count in crashes:
             if count.fingerprint not in timed:
                 self._merge_count(count, now)
 
-    def _merge_suspect(self, report: SuspectReport, now: timedelta) -> None:
+    def _merge_suspect(self, report: SuspectReport, organisation: int, now: timedelta) -> None:
         """Merge a report; one without recent crashes says something of known ones only."""
         crashes = [
             _read_crash(crash, now)
@@ -182,7 +209,7 @@
             if crash.ended_ms * _MILLISECOND < _MAX_REPORTED_AGE
         ]
         if crashes:
-            entry = self._entry(report.fingerprint, now)
+            entry = self._entry(report.fingerprint, now, organisation)
         else:
             entry = self._entries.get(report.fingerprint)
         if entry is None:
@@ -194,7 +221,7 @@
 
     def _merge_count(self, report: CrashReport, now: timedelta) -> None:
         """Add a crash if another VM's count, without times, is higher than what is known."""
-        entry = self._entry(report.fingerprint, now)
+        entry = self._entry(report.fingerprint, now, _NO_ORGANISATION)
         if entry is not None and report.crashes > entry.known_count:
             entry.known_count = report.crashes
             entry.add_reported(_untimed_crash(now))
@@ -213,31 +240,67 @@
     def suspect_reports(self, now: timedelta) -> tuple[SuspectReport, ...]:
         """Return what other VMs are told: the latest crashes first, then the cleared ones."""
         return tuple(
-            _suspect_report(fingerprint, entry, now)
+            _suspect_report(fingerprint, entry, now) for fingerprint, entry in self._suspects(now)
+        )
+
+    def suspect_organisations(self, now: timedelta) -> tuple[int, ...]:
+        """Return the short hash of the organisation of each of ``suspect_reports``.
+
+        It is empty if none of them has an organisation.
+        """
+        organisations = tuple(entry.organisation for _, entry in self._suspects(now))
+        return organisations if any(organisations) else ()
+
+    def _suspects(self, now: timedelta) -> list[tuple[int, _Entry]]:
+        return [
+            (fingerprint, entry)
             for fingerprint, entry in self._latest(now)
             if entry.row or entry.completed_at is not None
-        )
+        ]
 
     def _latest(self, now: timedelta) -> list[tuple[int, _Entry]]:
-        """Return the entries to report: with crashes before cleared ones, the latest first."""
+        """Return the entries to report: those with crashes before cleared ones.
+
+        Of both, the latest of each organisation come first, then the second of each, and so on.
+        """
         if not self._entries:
             return []
         self._expire(now)
-
-        def rank(item: tuple[int, _Entry]) -> tuple[bool, timedelta]:
-            return bool(item[1].row), item[1].expires_at
-
-        return sorted(self._entries.items(), key=rank, reverse=True)[:_MAX_REPORTED]
-
-    def _entry(self, fingerprint: int, now: timedelta) -> _Entry | None:
+        ordered = sorted(self._entries.items(), key=lambda it: it[1].expires_at, reverse=True)
+        named: Counter[tuple[bool, int]] = Counter()
+        turns = []
+        for fingerprint, entry in ordered:
+            group = (not entry.row, entry.organisation)
+            turns.append((not entry.row, named[group], len(turns), fingerprint, entry))
+            named[group] += 1
+        turns.sort(key=lambda turn: turn[:3])
+        return [(fingerprint, entry) for *_, fingerprint, entry in turns[:_MAX_REPORTED]]
+
+    def _entry(self, fingerprint: int, now: timedelta, organisation: int) -> _Entry | None:
+        """Return the entry of a fingerprint, added if missing, or None if there is no place."""
         entry = self._entries.get(fingerprint)
         if entry is None or now >= entry.expires_at:
             self._expire(now)
-            if len(self._entries) >= _MAX_ENTRIES:
+            if len(self._entries) >= _MAX_ENTRIES and not self._make_room(organisation):
                 return None
             entry = self._entries[fingerprint] = _Entry(now + _LIFETIME)
+        if entry.organisation == _NO_ORGANISATION:
+            entry.organisation = organisation
         return entry
 
+    def _make_room(self, organisation: int) -> bool:
+        """Give up an entry of the organisation that has most, if it has more than another one."""
+        held = Counter(entry.organisation for entry in self._entries.values())
+        largest, most = held.most_common(1)[0]
+        if most <= held[organisation] + 1:
+            return False
+        given_up = min(
+            (item for item in self._entries.items() if item[1].organisation == largest),
+            key=lambda item: (len(item[1].row), item[1].expires_at),
+        )
+        del self._entries[given_up[0]]
+        return True
+
     def _expire(self, now: timedelta) -> None:
         expired = [key for key, entry in self._entries.items() if now >= entry.expires_at]
         for key in expired:
--- a/packages/core/src/carawayquay/load_reports.py
+++ b/packages/core/src/carawayquay/load_reports.py
@@ -164,6 +164,9 @@
     :param capacity: requests/s that processor and link of the VM carry, 0 if it is not known
     :param suspects: the requests of ``crashes`` and cleared ones, with the times of the crashes;
         empty if the sender's version does not report them
+    :param suspect_organisations: short hash of the name of the organisation of each of
+        ``suspects``, 0 for one without; empty if all are, or the sender's version does not report
+        them
     """
 
     sender: VMIdentity
@@ -184,6 +187,7 @@
     confirmed_ms: tuple[int, ...] = ()
     capacity: int = 0
     suspects: tuple[SuspectReport, ...] = ()
+    suspect_organisations: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -203,6 +207,7 @@
     :param era: the store's era of the revisions, 0 if the sender's version does not report it
     :param version: version of the sender's configuration, 0 if it has none or does not report it
     :param suspects: as in a :class:`LoadReport`
+    :param suspect_organisations: as in a :class:`LoadReport`
     """
 
     sender: VMIdentity
@@ -218,6 +223,7 @@
     era: int = 0
     version: int = 0
     suspects: tuple[SuspectReport, ...] = ()
+    suspect_organisations: tuple[int, ...] = ()
 
 
 def with_usable_hosts(message: LoadReport | DomainSummary) -> Any:
--- a/packages/core/tests/test_crash_counts.py
+++ b/packages/core/tests/test_crash_counts.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from datetime import timedelta
 from itertools import permutations
 
 import attrs
 import pytest
 from crash_builders import crash, record_crashes
+from hypothesis import given
+from hypothesis import strategies as st
 
 from carawayquay.crash_counts import CrashCounts
 from carawayquay.load_reports import CrashReport, ReportedCrash, SuspectReport
@@ -230,3 +233,95 @@
     counts.merge([CrashReport(1, 3)], (), NOW)
     assert counts.is_suspect(1, NOW)
     assert counts.reports(NOW) == ()
+
+
+def _fill(counts, organisation, number, first=1000, now=NOW):
+    """Record one crash each for a number of requests of an organisation."""
+    for fingerprint in range(first, first + number):
+        ended = now.total_seconds()
+        it = crash(f"t{fingerprint}", ended - 1, ended)
+        counts.record_crash(fingerprint, it, now, organisation)
+
+
+# Guards against a request that is never refused, since another organisation fills the table.
+def test_request_is_counted_though_another_organisation_fills_the_table():
+    counts = CrashCounts()
+    _fill(counts, 1, 5000)
+    for number in range(3):
+        it = crash(f"s{number}", 2 * number, 2 * number + 1)
+        assert counts.record_crash(7, it, NOW, 2) == number + 1
+    assert counts.refused(7, NOW)
+    _fill(counts, 1, 5000, first=10000)
+    assert counts.refused(7, NOW)
+    assert counts.record_crash(99999, crash(), NOW, 1) == 0
+
+
+# Guards against a request that other VMs do not hear of, since another organisation has many.
+@pytest.mark.parametrize("completed", [False, True])
+def test_request_is_told_though_another_organisation_has_many_later_ones(completed):
+    counts = CrashCounts()
+    counts.record_crash(7, crash("s", 0, 1), NOW, 2)
+    _fill(counts, 1, 500, now=LATER)
+    if completed:
+        for fingerprint in (7, *range(1000, 1500)):
+            counts.record_completion(fingerprint, LATER)
+    reports = counts.suspect_reports(LATER)
+    assert 7 in [report.fingerprint for report in reports]
+    assert len(reports) == len(counts.suspect_organisations(LATER)) == 16
+
+
+@given(st.lists(st.tuples(st.integers(1, 74), st.integers(1, 60)), min_size=1, max_size=120))
+def test_each_organisation_keeps_its_part_of_the_table_in_any_order(bursts):
+    counts = CrashCounts()
+    held = defaultdict(list)
+    for index, (organisation, number) in enumerate(bursts):
+        first = 100 * index
+        _fill(counts, organisation, number, first)
+        held[organisation] += range(first, first + number)
+    part = 1024 // 74
+    for fingerprints in held.values():
+        known = sum(counts.is_suspect(it, NOW) for it in fingerprints)
+        assert known >= min(part, len(fingerprints))
+
+
+def test_requests_of_sixteen_organisations_are_all_told():
+    counts = CrashCounts()
+    for organisation in range(1, 17):
+        now = NOW + timedelta(seconds=organisation)
+        _fill(counts, organisation, 50, 1000 * organisation, now)
+    assert set(counts.suspect_organisations(now)) == set(range(1, 17))
+
+
+def test_organisation_of_a_request_is_passed_on_by_vms_that_hear_of_it():
+    here, there, third = CrashCounts(), CrashCounts(), CrashCounts()
+    here.record_crash(7, crash("s", 0, 1), NOW, 2)
+    _fill(here, 1, 20)
+    for teller, hearer in ((here, there), (there, third)):
+        reports, named = teller.suspect_reports(NOW), teller.suspect_organisations(NOW)
+        hearer.merge((), reports, NOW, named)
+    told = dict(zip(third.suspect_reports(NOW), third.suspect_organisations(NOW), strict=True))
+    assert [named for report, named in told.items() if report.fingerprint == 7] == [2]
+    assert set(told.values()) == {1, 2}
+
+
+@pytest.mark.parametrize("named", [(), (5,), (5, 6, 7, 8)])
+def test_organisations_that_are_missing_or_too_many_do_no_harm(named):
+    reports = tuple(SuspectReport(it, (ReportedCrash(7, 500, 400),), None) for it in (1, 2))
+    counts = CrashCounts()
+    counts.merge((), reports, NOW, named)
+    assert [counts.count(it, NOW) for it in (1, 2)] == [1, 1]
+    assert len(counts.suspect_organisations(NOW)) in (0, 2)
+
+
+def test_requests_without_organisations_are_told_without_any():
+    counts = CrashCounts()
+    record_crashes(counts, 1, 2, NOW)
+    assert counts.suspect_organisations(NOW) == ()
+
+
+# Guards against a VM of the build before that does not hear of an organisation's request.
+def test_vm_of_the_build_before_is_told_the_counts_of_all_organisations_by_turns():
+    counts = CrashCounts()
+    counts.record_crash(7, crash("s", 0, 1), NOW, 2)
+    _fill(counts, 1, 500, now=LATER)
+    assert CrashReport(7, 1) in counts.reports(LATER)
--- a/packages/gateway/src/carawayquay_gateway/peers.py
+++ b/packages/gateway/src/carawayquay_gateway/peers.py
@@ -128,7 +128,7 @@
         if not self._state.peers.receive(report, now):
             return
         self._state.knowledge.confirm_by_report(report, now)
-        self._crashes.merge(report.crashes, report.suspects, now)
+        self._crashes.merge(report.crashes, report.suspects, now, report.suspect_organisations)
         self._state.merge_warm_objects(report.warmed)
         self._state.limit_recorder.merge_report(report)
         if report.sender.domain == self._state.identity.domain:
@@ -259,4 +259,5 @@
             confirmed_ms=state.knowledge.reported_ages(),
             capacity=state.settings.capacity,
             suspects=self._crashes.suspect_reports(now),
+            suspect_organisations=self._crashes.suspect_organisations(now),
         )
--- a/packages/gateway/src/carawayquay_gateway/summaries.py
+++ b/packages/gateway/src/carawayquay_gateway/summaries.py
@@ -193,6 +193,7 @@
             era=state.replica_era,
             version=state.configuration_version,
             suspects=self._crashes.suspect_reports(now),
+            suspect_organisations=self._crashes.suspect_organisations(now),
         )
 
     def _handle_datagram(self, data: bytes, host: str) -> None:
@@ -209,7 +210,7 @@
             self._relayed_at[summary.sender.domain] = now
         if not is_new:
             return
-        self._crashes.merge(summary.crashes, summary.suspects, now)
+        self._crashes.merge(summary.crashes, summary.suspects, now, summary.suspect_organisations)
         state.merge_warm_objects(summary.warmed)
         state.limit_recorder.merge_summary(summary)
         self._relay(data, summary.sender.domain, host, domain_peers, now)
--- a/packages/gateway/src/carawayquay_gateway/target_attempts.py
+++ b/packages/gateway/src/carawayquay_gateway/target_attempts.py
@@ -58,8 +58,7 @@
                 target,
                 request,
                 remaining,
-                exchange.fingerprint,
-                repeatable=exchange.route.idempotent,
+                exchange,
             )
         if isinstance(result, Answered):
             self._record(exchange, placed, result)
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -7,10 +7,11 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import attrs
 import curio
 
 from carawayquay.crash_counts import TargetCrash
-from carawayquay.load_reports import incarnation_hash
+from carawayquay.load_reports import incarnation_hash, short_hash
 from carawayquay_gateway.exchanges import Answered, Unanswered
 from carawayquay_platform import headers
 from carawayquay_wire.dialing import dial
@@ -23,6 +24,7 @@
     from carawayquay.forwarding import TargetAnswer
     from carawayquay.membership import Address
     from carawayquay_gateway.answer_memory import AnswerMemory
+    from carawayquay_gateway.exchanges import Exchange
     from carawayquay_gateway.reach_prober import ReachProber
     from carawayquay_gateway.round_trips import RoundTrips
     from carawayquay_gateway.state import GatewayState
@@ -49,6 +51,17 @@
 _CONNECT_SECONDS = 0.3
 
 
+@attrs.frozen
+class _Suspect:
+    """What crashes of targets are attributed to.
+
+    :param organisation: name of the organisation that sent the request, empty if there is none
+    """
+
+    fingerprint: int
+    organisation: str
+
+
 class TargetCaller:
     """Calls targets over pooled keep-alive connections."""
 
@@ -87,16 +100,14 @@
         target: RegisteredTarget,
         request: HttpRequest,
         remaining: timedelta,
-        fingerprint: int,
-        *,
-        repeatable: bool,
+        exchange: Exchange,
     ) -> Answered | Unanswered:
         """Send a request to a target.
 
         :param remaining: time until the deadline of the request
-        :param fingerprint: hash of the request, to count crashes of targets by request
-        :param repeatable: whether the request may be sent again after the call was abandoned
+        :param exchange: state of the request, to which crashes of targets are attributed
         """
+        suspect = _Suspect(exchange.fingerprint, exchange.call.organisation)
         stats = self._state.stats(target.name)
         started = self._state.clock.now()
         self._domains[target.address] = target.domain
@@ -109,13 +120,13 @@
                 remaining.total_seconds(),
                 max_idle=self._state.idle_timeouts.max_idle(target.name, target.service, started),
                 response_matches=headers.response_matches,
-                abandonable=repeatable,
+                abandonable=exchange.route.idempotent,
             )
         except HttpError as failure:
             unanswered = Unanswered(failure.sent, failure.timed_out)
             if not failure.fresh:
                 await self._record_reused_failure(target, unanswered)
-            await self._record_failure(target, unanswered, fingerprint, started)
+            await self._record_failure(target, unanswered, suspect, started)
             return unanswered
         finally:
             stats.running -= 1
@@ -156,7 +167,7 @@
         self,
         target: RegisteredTarget,
         unanswered: Unanswered,
-        fingerprint: int,
+        suspect: _Suspect,
         started: timedelta,
     ) -> None:
         """Record a call without a complete answer; check for a crash if the connection broke.
@@ -180,7 +191,7 @@
         elif not unanswered.timed_out:
             await self._http.drop_idle(target.address)
             crash = TargetCrash(incarnation_hash(target), started, now)
-            await curio.spawn(self._check_crash, target, fingerprint, crash, daemon=True)
+            await curio.spawn(self._check_crash, target, suspect, crash, daemon=True)
 
     def _mark_cold(self, target: RegisteredTarget, now: timedelta) -> None:
         """Mark an unreachable or crashed target as cold, as it will be when it is back."""
@@ -213,7 +224,7 @@
         return not await self._accepts_connections(target.address)
 
     async def _check_crash(
-        self, target: RegisteredTarget, fingerprint: int, crash: TargetCrash
+        self, target: RegisteredTarget, suspect: _Suspect, crash: TargetCrash
     ) -> None:
         """Record a crash and eject the target if it alone accepts no new connection."""
         if await self._accepts_connections(target.address):
@@ -221,14 +232,16 @@
         if not await self._is_lost(target, crash.ended_at):
             return
         now = self._state.clock.now()
-        count = self._crashes.record_crash(fingerprint, crash, now)
+        organisation = short_hash(suspect.organisation) if suspect.organisation else 0
+        count = self._crashes.record_crash(suspect.fingerprint, crash, now, organisation)
         self._state.stats(target.name).ejected_until = now + _CRASH_EJECTION
         self._mark_cold(target, now)
         _log.warning(
             Event.TARGET_LOST,
             target=target.name,
             reason="crashed",
-            fingerprint=f"{fingerprint:016x}",
+            fingerprint=f"{suspect.fingerprint:016x}",
+            **({"organisation": suspect.organisation} if suspect.organisation else {}),
             crashes=count,
         )
 
--- a/packages/gateway/tests/cut_off_fleet.py
+++ b/packages/gateway/tests/cut_off_fleet.py
@@ -385,11 +385,22 @@
         for vm in self.vms:
             now = vm.state.clock.now()
             crashes, suspects = vm.crashes.reports(now), vm.crashes.suspect_reports(now)
-            report = attrs.evolve(vm.report(), crashes=crashes, suspects=suspects)
+            organisations = vm.crashes.suspect_organisations(now)
+            report = attrs.evolve(
+                vm.report(),
+                crashes=crashes,
+                suspects=suspects,
+                suspect_organisations=organisations,
+            )
             for other in self.vms:
                 if other is not vm:
                     read = decode_report(encode_report(report))
-                    other.crashes.merge(read.crashes, read.suspects, other.state.clock.now())
+                    other.crashes.merge(
+                        read.crashes,
+                        read.suspects,
+                        other.state.clock.now(),
+                        read.suspect_organisations,
+                    )
 
     async def _report_forever(self):
         while True:
--- a/packages/wire/src/carawayquay_wire/reports.py
+++ b/packages/wire/src/carawayquay_wire/reports.py
@@ -148,6 +148,8 @@
     }
     if message.suspects:
         fields["suspects"] = [_suspect_fields(suspect) for suspect in message.suspects]
+    if message.suspect_organisations:
+        fields["suspectOrganisations"] = list(message.suspect_organisations)
     return fields
 
 
@@ -173,6 +175,9 @@
         "version": reader.version,
         # Most reports have none, and access to a list takes a tenth of the time of decoding.
         "suspects": (tuple(map(_read_suspect, reader.suspects)) if reader._has("suspects") else ()),
+        "suspect_organisations": (
+            tuple(reader.suspectOrganisations) if reader._has("suspectOrganisations") else ()
+        ),
     }
 
 
--- a/packages/wire/src/carawayquay_wire/schema/reports.capnp
+++ b/packages/wire/src/carawayquay_wire/schema/reports.capnp
@@ -46,6 +46,7 @@
   confirmedMs @16 :List(UInt32);  # see LoadReport.confirmed_ms, by kind like revisions
   capacity @17 :UInt32;  # requests per second
   suspects @18 :List(SuspectReport);
+  suspectOrganisations @19 :List(UInt32);  # by suspect: hash of its organisation, 0 without one
 }
 
 struct DomainSummary {
@@ -63,6 +64,7 @@
   era @11 :UInt32;
   version @12 :UInt64;
   suspects @13 :List(SuspectReport);
+  suspectOrganisations @14 :List(UInt32);  # see LoadReport
 }
 
 # Items of limits are little-endian: hash of target and incarnation (UInt32), limit in requests per
--- a/packages/wire/tests/test_reports.py
+++ b/packages/wire/tests/test_reports.py
@@ -84,8 +84,8 @@
 
 def _later_version(tmp_path):
     schema = SCHEMA.replace("incarnation @4 :UInt64;", "incarnation @4 :UInt64; a @5 :Text;")
-    last = "suspects @18 :List(SuspectReport);"
-    added = f"{last} mood @19 :Text; moods @20 :List(Member);"
+    last = "suspectOrganisations @19 :List(UInt32);"
+    added = f"{last} mood @20 :Text; moods @21 :List(Member);"
     return _load_other_version(tmp_path, schema.replace(last, added))
 
 
@@ -93,7 +93,7 @@
     """Load a schema without the last fields of ``LoadReport`` and without ``DomainSummary``."""
     schema = SCHEMA.partition("struct DomainSummary")[0]
     return _load_other_version(
-        tmp_path, re.sub(r".*@(8|9|10|11|12|13|14|15|16|17|18) :.*\n", "", schema)
+        tmp_path, re.sub(r".*@(8|9|10|11|12|13|14|15|16|17|18|19) :.*\n", "", schema)
     )
 
 
@@ -114,6 +114,7 @@
         crashes=(CrashReport(7, 2),),
         warmed=(WarmObject(1, 2),),
         suspects=(SuspectReport(7, (ReportedCrash(1, 30, 20),), 10), SuspectReport(8, (), None)),
+        suspect_organisations=(11, 0),
     )
     assert decode_summary(encode_summary(summary)) == summary
 
--- a/standins/tests/test_recorded_data.py
+++ b/standins/tests/test_recorded_data.py
@@ -22,27 +22,57 @@
 from carawayquay_wire import codec, reports
 
 MESSAGES = recorded("messages")["messages"]
-REPORTS = recorded("reports_with_suspects")["reports"]
+REPORTS = recorded("reports_with_suspect_organisations")["reports"]
 #: Earlier builds: their recorded reports, their schema, and what later builds added to a report.
 EARLIER_BUILDS = (
     (
         "reports",
         "reports_before_limits",
-        ("limits", "era", "version", "cut_off", "confirmed_ms", "capacity", "suspects"),
+        (
+            "limits",
+            "era",
+            "version",
+            "cut_off",
+            "confirmed_ms",
+            "capacity",
+            "suspects",
+            "suspect_organisations",
+        ),
     ),
     (
         "reports_with_limits",
         "reports_before_eras",
-        ("era", "version", "cut_off", "confirmed_ms", "capacity", "suspects"),
+        (
+            "era",
+            "version",
+            "cut_off",
+            "confirmed_ms",
+            "capacity",
+            "suspects",
+            "suspect_organisations",
+        ),
     ),
     (
         "reports_with_eras",
         "reports_before_cut_off",
-        ("cut_off", "confirmed_ms", "capacity", "suspects"),
+        ("cut_off", "confirmed_ms", "capacity", "suspects", "suspect_organisations"),
+    ),
+    (
+        "reports_with_cut_off",
+        "reports_before_confirmed",
+        ("confirmed_ms", "capacity", "suspects", "suspect_organisations"),
+    ),
+    (
+        "reports_with_confirmed",
+        "reports_before_capacity",
+        ("capacity", "suspects", "suspect_organisations"),
+    ),
+    ("reports_with_capacity", "reports_before_suspects", ("suspects", "suspect_organisations")),
+    (
+        "reports_with_suspects",
+        "reports_before_suspect_organisations",
+        ("suspect_organisations",),
     ),
-    ("reports_with_cut_off", "reports_before_confirmed", ("confirmed_ms", "capacity", "suspects")),
-    ("reports_with_confirmed", "reports_before_capacity", ("capacity", "suspects")),
-    ("reports_with_capacity", "reports_before_suspects", ("suspects",)),
 )
 EARLIER_REPORTS = [
     pytest.param(item, schema, added, id=f"{schema}-{item['struct']}-{item['true_flag']}")
@@ -58,6 +88,7 @@
     "confirmed_ms": (),
     "capacity": 0,
     "suspects": (),
+    "suspect_organisations": (),
 }
 REPORT_CODECS = {
     "LoadReport": (LoadReport, reports.encode_report, reports.decode_report),
