Count crashes for the caller whose requests caused them in the daemon too

What callers would have seen: a request that crashes targets for one caller is never quarantined while an equal one of another caller completes, and is quarantined for all callers otherwise.

Cause: as at the gateway, the fingerprint left out who sends the request.

No run with processes.

Change: the fingerprint takes in Authorization where its scheme is Basic or Bearer. All fingerprints are in request_fingerprints.py; that of bookings, which stood twice, is unchanged, as the recorded value shows.

--- a/packages/core/src/carawayquay/claim_keys.py
+++ b/packages/core/src/carawayquay/claim_keys.py
@@ -15,9 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from carawayquay.requests import Forward
-
-__all__ = ["SHARDS", "BookingKey", "ShardId", "fingerprint", "mint_key", "parse_key"]
+__all__ = ["SHARDS", "BookingKey", "ShardId", "mint_key", "parse_key"]
 
 #: Number of claim shards in each failure domain.
 SHARDS = 16
@@ -94,15 +92,6 @@
     return BookingKey(text, ShardId(ranked(text, known)[0], _shard_number(text)))
 
 
-def fingerprint(forward: Forward) -> bytes:
-    """Return a hash of the request, to detect reuse of a key for a different booking."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (forward.service.encode(), forward.method.encode(), forward.path.encode()):
-        digest.update(len(part).to_bytes(4, "big") + part)
-    digest.update(forward.body)
-    return digest.digest()
-
-
 def _shard_number(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8, person=b"shard").digest()
     return int.from_bytes(digest, "big") % SHARDS
--- a/packages/core/src/carawayquay/quarantine.py
+++ b/packages/core/src/carawayquay/quarantine.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import enum
-import hashlib
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -18,8 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from carawayquay.requests import Forward
-
 __all__ = [
     "QUARANTINE_LIFETIME",
     "SUSPECT_LIFETIME",
@@ -27,7 +24,6 @@
     "QuarantineTable",
     "SuspectCleared",
     "SuspectReport",
-    "fingerprint",
 ]
 
 #: Time for which a quarantined request is refused.
@@ -44,7 +40,6 @@
 
 #: Maximum number of entries; a full table ignores further suspects.
 _MAX_ENTRIES = 1024
-_FINGERPRINT_BYTES = 16
 
 
 class CrashStatus(enum.Enum):
@@ -86,16 +81,6 @@
     expires_at: timedelta
 
 
-def fingerprint(forward: Forward) -> bytes:
-    """Return a hash of a request's service, method, path and body."""
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    for part in (forward.service.encode(), forward.method.encode(), forward.path.encode()):
-        digest.update(len(part).to_bytes(4, "big"))
-        digest.update(part)
-    digest.update(forward.body)
-    return digest.digest()
-
-
 class QuarantineTable:
     """Bounded table of the suspect and quarantined requests by fingerprint."""
 
--- a/packages/daemon/src/carawayquayd/bookings.py
+++ b/packages/daemon/src/carawayquayd/bookings.py
@@ -8,9 +8,10 @@
 import attrs
 import curio
 
-from carawayquay.claim_keys import fingerprint, parse_key
+from carawayquay.claim_keys import parse_key
 from carawayquay.claims import NewClaim, PendingClaim, shard_unavailable
 from carawayquay.errors import ErrorKind, LinkError, RequestError
+from carawayquay.request_fingerprints import booking_fingerprint
 from carawayquay.requests import Forwarded, Purpose
 from carawayquay_wire.events import Event, EventLog
 
@@ -118,7 +119,7 @@
         life = self._state.document(forward.service).document.key_life
         admitted = replica.admit(
             key,
-            fingerprint(forward),
+            booking_fingerprint(forward),
             life,
             forward.attempt,
             self._shards.confirmed_age,
--- a/packages/daemon/src/carawayquayd/targets.py
+++ b/packages/daemon/src/carawayquayd/targets.py
@@ -11,7 +11,8 @@
 
 from carawayquay.errors import ErrorKind, RequestError
 from carawayquay.heartbeats import Load
-from carawayquay.quarantine import CrashStatus, fingerprint
+from carawayquay.quarantine import CrashStatus
+from carawayquay.request_fingerprints import suspect_fingerprint
 from carawayquay.requests import Forward, Forwarded, Header
 from carawayquay.shedding import RunTimeMeans
 from carawayquay_wire.events import Event, EventLog
@@ -165,22 +166,20 @@
         admit: Callable[[], bool],
     ) -> Forwarded:
         """Run a request by its crash status: suspects one at a time, quarantined ones never."""
-        request_fingerprint = fingerprint(forward)
+        fingerprint = suspect_fingerprint(forward)
         while True:
-            crash_status = self._suspects.table.status_of(
-                request_fingerprint, self._state.clock.now()
-            )
+            crash_status = self._suspects.table.status_of(fingerprint, self._state.clock.now())
             try:
                 match crash_status:
                     case CrashStatus.CLEAR:
                         return await self._run_on_target(
                             document,
                             forward,
-                            _InFlightRequest(request_fingerprint, admit),
+                            _InFlightRequest(fingerprint, admit),
                             deadline,
                         )
                     case CrashStatus.SUSPECT:
-                        in_flight = _InFlightRequest(request_fingerprint, admit, suspect=True)
+                        in_flight = _InFlightRequest(fingerprint, admit, suspect=True)
                         async with self._exclusive_suspect_run(deadline):
                             return await self._run_on_target(document, forward, in_flight, deadline)
                     case CrashStatus.QUARANTINED:
