Split the history of one request's crashes from the table of all

crash_counts.py held two things, what is known of equal requests and the table that VMs share; the first is a module of its own now. The refusal of requests that violate the protocol moved from the forwarder to the admission, beside the other answers before an attempt.

--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -7,119 +7,32 @@
 from itertools import zip_longest
 from typing import TYPE_CHECKING
 
-import attrs
-
+from carawayquay.crash_history import (
+    CRASH_LIFETIME,
+    MAX_CRASHES_IN_A_ROW,
+    NO_ORGANISATION,
+    CrashHistory,
+    TargetCrash,
+)
 from carawayquay.load_reports import CrashReport, ReportedCrash, SuspectReport
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
-
-__all__ = ["CrashCounts", "TargetCrash"]
-
-#: Crashes in a row after which requests with the same fingerprint are refused.
-_MAX_CRASHES_IN_A_ROW = 3
-
-#: Time since a crash after which it is not counted any more.
-_LIFETIME = timedelta(seconds=120)
+    from collections.abc import Sequence
 
-#: Time after a crash of a target in which another observation of this VM is the same crash. It
-#: takes longer until the target is back, also where its registration is not renewed yet.
-_SAME_CRASH = timedelta(seconds=1)
+__all__ = ["CrashCounts"]
 
 #: Age up to which a crash is taken over from a report. Without the margin, VMs could tell each
 #: other of a crash again and again, as each learns of it a little later.
-_MAX_REPORTED_AGE = _LIFETIME - timedelta(seconds=10)
+_MAX_REPORTED_AGE = CRASH_LIFETIME - timedelta(seconds=10)
 
 #: Stands for the target in a crash that was reported without one.
 _UNKNOWN_TARGET = 0
 
-#: Crashes that are kept of requests with one fingerprint, also those that count as one.
-_MAX_CRASHES_KEPT = 16
-
-#: Stands for the organisation of requests that have none, or none that is known.
-_NO_ORGANISATION = 0
-
 _MAX_ENTRIES = 1024
 _MAX_REPORTED = 16
 _MILLISECOND = timedelta(milliseconds=1)
 
 
-@attrs.frozen
-class TargetCrash:
-    """A crash of a target while it held a request.
-
-    :param target: hash of the target's name and incarnation
-    :param began_at: when the request was sent to the target
-    :param ended_at: when its connection broke
-    """
-
-    target: int
-    began_at: timedelta
-    ended_at: timedelta
-
-
-@attrs.define
-class _Entry:
-    """What is known of the requests with one fingerprint.
-
-    :param crashes: the latest crashes after the last completion, by their end
-    :param row: those of them that count, each of which began after the end of the one before
-    :param completed_at: when such a request completed last, if that was noticed
-    :param cleared: hashes of the targets of earlier crashes
-    :param known_count: the highest count that any VM may have from these crashes
-    :param organisation: short hash of the name of the organisation that sends them
-    """
-
-    expires_at: timedelta
-    organisation: int = _NO_ORGANISATION
-    crashes: tuple[TargetCrash, ...] = ()
-    row: tuple[TargetCrash, ...] = ()
-    completed_at: timedelta | None = None
-    cleared: tuple[int, ...] = ()
-    known_count: int = 0
-
-    def add_observed(self, crash: TargetCrash) -> None:
-        """Add a crash that this VM saw, unless it is known or such a request completed since."""
-        for known in self.crashes:
-            if known.target == crash.target and crash.began_at < known.ended_at + _SAME_CRASH:
-                return
-        self._add(crash)
-
-    def add_reported(self, crash: TargetCrash) -> None:
-        """Add a crash that another VM reports, unless any crash of the target is known.
-
-        A report that was held up dates a crash too late, so that the earliest date is right.
-        """
-        if crash.target in self.cleared:
-            return
-        known = next((it for it in self.crashes if it.target == crash.target), None)
-        if known is not None and crash.ended_at >= known.ended_at:
-            return
-        self._set_crashes([it for it in self.crashes if it is not known])
-        self._add(crash)
-
-    def add_completion(self, completed_at: timedelta) -> None:
-        """Drop the crashes before a completed request."""
-        if self.completed_at is not None and completed_at <= self.completed_at:
-            return
-        self.completed_at = completed_at
-        ended = tuple(it.target for it in self.crashes if it.ended_at <= completed_at)
-        self.cleared = (*self.cleared, *ended)[-_MAX_CRASHES_KEPT:]
-        self._set_crashes([it for it in self.crashes if it.ended_at > completed_at])
-
-    def _add(self, crash: TargetCrash) -> None:
-        if self.completed_at is not None and crash.ended_at <= self.completed_at:
-            return
-        self._set_crashes([*self.crashes, crash])
-        self.known_count = max(self.known_count, len(self.row))
-        self.expires_at = max(self.expires_at, crash.ended_at + _LIFETIME)
-
-    def _set_crashes(self, crashes: list[TargetCrash]) -> None:
-        latest = sorted(crashes, key=lambda it: it.ended_at)[-_MAX_CRASHES_KEPT:]
-        self.crashes = tuple(latest)
-        self.row = _in_a_row(latest)
-
-
 class CrashCounts:
     """Counts of crashes, by the fingerprint of the request that the target was running.
 
@@ -135,11 +48,11 @@
     """
 
     def __init__(self) -> None:
-        self._entries: dict[int, _Entry] = {}
+        self._entries: dict[int, CrashHistory] = {}
 
     def refused(self, fingerprint: int, now: timedelta) -> bool:
         """Return whether requests with a fingerprint are refused for crashing too many targets."""
-        return self.count(fingerprint, now) >= _MAX_CRASHES_IN_A_ROW
+        return self.count(fingerprint, now) >= MAX_CRASHES_IN_A_ROW
 
     def is_suspect(self, fingerprint: int, now: timedelta) -> bool:
         """Return whether a request with a fingerprint may have crashed a target."""
@@ -158,7 +71,7 @@
         fingerprint: int,
         crash: TargetCrash,
         now: timedelta,
-        organisation: int = _NO_ORGANISATION,
+        organisation: int = NO_ORGANISATION,
     ) -> int:
         """Record a crash, and return the count; return 0 if the table has no place for it.
 
@@ -194,7 +107,7 @@
             return
         timed = set()
         named = organisations[: len(suspects)]
-        for report, organisation in zip_longest(suspects, named, fillvalue=_NO_ORGANISATION):
+        for report, organisation in zip_longest(suspects, named, fillvalue=NO_ORGANISATION):
             timed.add(report.fingerprint)
             self._merge_suspect(report, organisation, now)
         for count in crashes:
@@ -221,7 +134,7 @@
 
     def _merge_count(self, report: CrashReport, now: timedelta) -> None:
         """Add a crash if another VM's count, without times, is higher than what is known."""
-        entry = self._entry(report.fingerprint, now, _NO_ORGANISATION)
+        entry = self._entry(report.fingerprint, now, NO_ORGANISATION)
         if entry is not None and report.crashes > entry.known_count:
             entry.known_count = report.crashes
             entry.add_reported(_untimed_crash(now))
@@ -251,14 +164,14 @@
         organisations = tuple(entry.organisation for _, entry in self._suspects(now))
         return organisations if any(organisations) else ()
 
-    def _suspects(self, now: timedelta) -> list[tuple[int, _Entry]]:
+    def _suspects(self, now: timedelta) -> list[tuple[int, CrashHistory]]:
         return [
             (fingerprint, entry)
             for fingerprint, entry in self._latest(now)
             if entry.row or entry.completed_at is not None
         ]
 
-    def _latest(self, now: timedelta) -> list[tuple[int, _Entry]]:
+    def _latest(self, now: timedelta) -> list[tuple[int, CrashHistory]]:
         """Return the entries to report: those with crashes before cleared ones.
 
         Of both, the latest of each organisation come first, then the second of each, and so on.
@@ -276,15 +189,15 @@
         turns.sort(key=lambda turn: turn[:3])
         return [(fingerprint, entry) for *_, fingerprint, entry in turns[:_MAX_REPORTED]]
 
-    def _entry(self, fingerprint: int, now: timedelta, organisation: int) -> _Entry | None:
+    def _entry(self, fingerprint: int, now: timedelta, organisation: int) -> CrashHistory | None:
         """Return the entry of a fingerprint, added if missing, or None if there is no place."""
         entry = self._entries.get(fingerprint)
         if entry is None or now >= entry.expires_at:
             self._expire(now)
             if len(self._entries) >= _MAX_ENTRIES and not self._make_room(organisation):
                 return None
-            entry = self._entries[fingerprint] = _Entry(now + _LIFETIME)
-        if entry.organisation == _NO_ORGANISATION:
+            entry = self._entries[fingerprint] = CrashHistory(now + CRASH_LIFETIME)
+        if entry.organisation == NO_ORGANISATION:
             entry.organisation = organisation
         return entry
 
@@ -307,27 +220,13 @@
             del self._entries[key]
 
 
-def _in_a_row(crashes: Iterable[TargetCrash]) -> tuple[TargetCrash, ...]:
-    """Return the longest row of crashes that each began after the end of the one before.
-
-    Of a longer row than is needed for a refusal, the latest crashes remain.
-
-    :param crashes: ordered by their end
-    """
-    row: list[TargetCrash] = []
-    for crash in crashes:
-        if not row or crash.began_at >= row[-1].ended_at:
-            row.append(crash)
-    return tuple(row[-_MAX_CRASHES_IN_A_ROW:])
-
-
 def _untimed_crash(now: timedelta) -> TargetCrash:
     """Return the crash that is known from a count without times.
 
     Counts of the versions that send them grow with each request that a crashed target was running,
     so that a higher count proves no more than one crash, at a time that is not known.
     """
-    return TargetCrash(_UNKNOWN_TARGET, now - _LIFETIME, now)
+    return TargetCrash(_UNKNOWN_TARGET, now - CRASH_LIFETIME, now)
 
 
 def _read_crash(crash: ReportedCrash, now: timedelta) -> TargetCrash:
@@ -336,7 +235,7 @@
     return TargetCrash(crash.target, min(began_at, ended_at), ended_at)
 
 
-def _suspect_report(fingerprint: int, entry: _Entry, now: timedelta) -> SuspectReport:
+def _suspect_report(fingerprint: int, entry: CrashHistory, now: timedelta) -> SuspectReport:
     crashes = tuple(
         ReportedCrash(it.target, _age_ms(it.began_at, now), _age_ms(it.ended_at, now))
         for it in entry.row
--- a/packages/core/tests/crash_builders.py
+++ b/packages/core/tests/crash_builders.py
@@ -4,7 +4,7 @@
 
 from datetime import timedelta
 
-from carawayquay.crash_counts import TargetCrash
+from carawayquay.crash_history import TargetCrash
 from carawayquay.load_reports import short_hash
 
 
--- a/packages/gateway/src/carawayquay_gateway/admission.py
+++ b/packages/gateway/src/carawayquay_gateway/admission.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from carawayquay.errors import ErrorKind
+from carawayquay.errors import ANSWERS, ErrorKind
 from carawayquay.request_fingerprints import request_fingerprint
 from carawayquay.retry_times import retry_after
 from carawayquay.routes import Route, UnreadRoutes
@@ -32,10 +32,10 @@
     from carawayquay_gateway.target_attempts import TargetAttempts
     from carawayquay_wire.http import HttpResponse
 
-__all__ = ["UNCONFIGURED_RETRY", "Admission", "Admitted"]
+__all__ = ["Admission", "Admitted"]
 
 #: Retry-after seconds of a VM without a configuration.
-UNCONFIGURED_RETRY = 1.0
+_UNCONFIGURED_RETRY = 1.0
 
 #: Retry-after seconds for a route or an organisation that could not be read, which an operator
 #: has to correct.
@@ -44,6 +44,9 @@
 #: Retry-after seconds of a VM that stops, after which callers use another one.
 _STOPPING_RETRY = 0.05
 
+#: Statuses of requests whose body or headers exceed the limit.
+_SIZE_STATUSES = frozenset({413, 431})
+
 #: Part of the caller's deadline that is reserved for returning the final answer.
 _ANSWER_MARGIN = timedelta(milliseconds=15)
 
@@ -98,6 +101,16 @@
         refusal = self._refusal(exchange, now)
         return Admitted(exchange, caller.organisation) if refusal is None else refusal
 
+    def reject(self, status: int, reason: str) -> HttpResponse:
+        """Return the answer to a request that violates the protocol or a limit.
+
+        Without a configuration, no limit of sizes is known to be exceeded.
+        """
+        if self._state.configuration is None and status in _SIZE_STATUSES:
+            kind = ErrorKind.UNCONFIGURED
+            return self._answers.reject(ANSWERS[kind].status, reason, kind, _UNCONFIGURED_RETRY)
+        return self._answers.reject(status, reason)
+
     def _new_exchange(
         self, caller: Authenticated, configuration: Configuration, now: timedelta
     ) -> Exchange:
@@ -133,7 +146,9 @@
         """Return the answer to a request that came before the first configuration."""
         self._state.refused_unconfigured = True
         reason = "no configuration received yet"
-        return self._answers.request_error(call, ErrorKind.UNCONFIGURED, reason, UNCONFIGURED_RETRY)
+        return self._answers.request_error(
+            call, ErrorKind.UNCONFIGURED, reason, _UNCONFIGURED_RETRY
+        )
 
     def _route_error(
         self, call: CallerRequest, route: UnreadRoutes | None, configuration: Configuration
--- a/packages/gateway/src/carawayquay_gateway/forwarder.py
+++ b/packages/gateway/src/carawayquay_gateway/forwarder.py
@@ -6,11 +6,11 @@
 
 import curio
 
-from carawayquay.errors import ANSWERS, ErrorKind
+from carawayquay.errors import ErrorKind
 from carawayquay.placement import NoCapacity
 from carawayquay.retry_times import limited_retry_after, retry_after
 from carawayquay.routes import Route
-from carawayquay_gateway.admission import UNCONFIGURED_RETRY, Admission, Admitted
+from carawayquay_gateway.admission import Admission, Admitted
 from carawayquay_gateway.answers import CallerAnswers
 from carawayquay_gateway.authentication import AuthenticationFailed, authenticate
 from carawayquay_gateway.exchanges import (
@@ -48,9 +48,6 @@
 #: Number of targets to which one request could not be sent, after which another VM is asked.
 _MAX_UNREACHABLE = 2
 
-#: Statuses of requests whose body or headers exceed the limit.
-_SIZE_STATUSES = frozenset({413, 431})
-
 
 class Forwarder:
     """Forwards callers' requests along their routes, and retries within the retry budget."""
@@ -99,14 +96,8 @@
             self._active -= 1
 
     def reject(self, status: int, reason: str) -> HttpResponse:
-        """Return the answer to a request that violates the protocol or a limit.
-
-        Without a configuration, no limit of sizes is known to be exceeded.
-        """
-        if self._state.configuration is None and status in _SIZE_STATUSES:
-            kind = ErrorKind.UNCONFIGURED
-            return self._answers.reject(ANSWERS[kind].status, reason, kind, UNCONFIGURED_RETRY)
-        return self._answers.reject(status, reason)
+        """Return the answer to a request that violates the protocol or a limit."""
+        return self._admission.reject(status, reason)
 
     def record_connection_end(self, cause: ConnectionEnd, response: HttpResponse | None) -> None:
         """Count and log a caller's connection that this VM ended.
--- a/packages/gateway/src/carawayquay_gateway/target_calls.py
+++ b/packages/gateway/src/carawayquay_gateway/target_calls.py
@@ -10,7 +10,7 @@
 import attrs
 import curio
 
-from carawayquay.crash_counts import TargetCrash
+from carawayquay.crash_history import NO_ORGANISATION, TargetCrash
 from carawayquay.load_reports import incarnation_hash, short_hash
 from carawayquay_gateway.exchanges import Answered, Unanswered
 from carawayquay_platform import headers
@@ -232,7 +232,7 @@
         if not await self._is_lost(target, crash.ended_at):
             return
         now = self._state.clock.now()
-        organisation = short_hash(suspect.organisation) if suspect.organisation else 0
+        organisation = short_hash(suspect.organisation) if suspect.organisation else NO_ORGANISATION
         count = self._crashes.record_crash(suspect.fingerprint, crash, now, organisation)
         self._state.stats(target.name).ejected_until = now + _CRASH_EJECTION
         self._mark_cold(target, now)
