--- a/packages/core/src/carawayquay/crash_counts.py
+++ b/packages/core/src/carawayquay/crash_counts.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from datetime import timedelta
+from heapq import nsmallest
 from itertools import zip_longest
 from typing import TYPE_CHECKING
 
@@ -184,10 +185,11 @@
         turns = []
         for fingerprint, entry in ordered:
             group = (not entry.row, entry.organisation)
+            # The third item is unique, so that no two entries are compared.
             turns.append((not entry.row, named[group], len(turns), fingerprint, entry))
             named[group] += 1
-        turns.sort(key=lambda turn: turn[:3])
-        return [(fingerprint, entry) for *_, fingerprint, entry in turns[:_MAX_REPORTED]]
+        latest = nsmallest(_MAX_REPORTED, turns)
+        return [(fingerprint, entry) for *_, fingerprint, entry in latest]
 
     def _entry(self, fingerprint: int, now: timedelta, organisation: int) -> CrashHistory | None:
         """Return the entry of a fingerprint, added if missing, or None if there is no place."""
